--- /dev/null
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Adaptive concurrency limit, priority queue and load shedding."""
--- /dev/null
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -0,0 +1,1 @@
+"""The one configuration document: model, validation, differences, dissemination."""
--- /dev/null
+++ b/libs/core/src/wisteria_core/__init__.py
@@ -0,0 +1,32 @@
+"""Clock, result codes, VM list and hashing shared by every library."""
+
+from .clock import Clock, ManualClock, read_boot_clock
+from .hashing import digest, rank_by_rendezvous, rendezvous_weight
+from .models import (
+    FailureDomain,
+    Priority,
+    Vm,
+    VmId,
+    VmList,
+    VmState,
+)
+from .results import Refusal, ResultCode, RunState, http_status
+
+__all__ = [
+    "Clock",
+    "FailureDomain",
+    "ManualClock",
+    "Priority",
+    "Refusal",
+    "ResultCode",
+    "RunState",
+    "Vm",
+    "VmId",
+    "VmList",
+    "VmState",
+    "digest",
+    "http_status",
+    "rank_by_rendezvous",
+    "read_boot_clock",
+    "rendezvous_weight",
+]
--- /dev/null
+++ b/libs/core/src/wisteria_core/clock.py
@@ -0,0 +1,68 @@
+"""The project's one clock type, in whole milliseconds."""
+
+import time
+from collections.abc import Callable
+
+import attrs
+
+MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
+
+
+def read_boot_clock() -> int:
+    """Return milliseconds since boot, counting time in which the machine was suspended.
+
+    Returns
+    -------
+    int
+        Reading of ``CLOCK_BOOTTIME`` in milliseconds. It never steps back and is not
+        comparable between VMs.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
+
+
+@attrs.define
+class Clock:
+    """A source of monotonic milliseconds.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the current reading in milliseconds.
+    """
+
+    read: Callable[[], int] = read_boot_clock
+
+    def now_ms(self) -> int:
+        """Return the current reading in milliseconds."""
+        return self.read()
+
+
+@attrs.define
+class ManualClock(Clock):
+    """A clock that moves only when told to, for tests and simulations.
+
+    Parameters
+    ----------
+    reading_ms : int
+        Reading at the start, in milliseconds.
+    """
+
+    reading_ms: int = 0
+
+    def now_ms(self) -> int:
+        """Return the current reading in milliseconds."""
+        return self.reading_ms
+
+    def advance(self, delta_ms: int) -> int:
+        """Move the clock forward by `delta_ms` milliseconds and return the new reading.
+
+        Raises
+        ------
+        ValueError
+            If `delta_ms` is negative: the clock is monotonic.
+        """
+        if delta_ms < 0:
+            raise ValueError(f"a monotonic clock cannot move by {delta_ms} ms")
+        self.reading_ms += delta_ms
+        return self.reading_ms
--- /dev/null
+++ b/libs/core/src/wisteria_core/hashing.py
@@ -0,0 +1,27 @@
+"""Hashing that every daemon computes alike: rendezvous ranks and content digests."""
+
+import hashlib
+from collections.abc import Iterable
+
+import xxhash
+
+DIGEST_BYTES = 16
+
+
+def rendezvous_weight(key: str, candidate: str) -> int:
+    """Return the weight of `candidate` for `key`; the highest weight ranks first.
+
+    The weight depends on the pair alone, so the order of two candidates is the same in
+    every list that names both.
+    """
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{candidate}".encode())
+
+
+def rank_by_rendezvous(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return `candidates` ordered by falling rendezvous weight for `key`."""
+    return sorted(candidates, key=lambda name: (-rendezvous_weight(key, name), name))
+
+
+def digest(content: bytes) -> bytes:
+    """Return the 16-byte BLAKE2b digest of `content`."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/libs/ctl/src/wisteriactl/__init__.py
@@ -0,0 +1,1 @@
+"""The wisteriactl command-line tool."""
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/__init__.py
@@ -0,0 +1,1 @@
+"""The wisteriaproxy daemon."""
--- /dev/null
+++ b/libs/ledger/src/wisteria_ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once runs of non-repeatable requests."""
--- /dev/null
+++ b/libs/limits/src/wisteria_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Account rates shared across a fleet."""
--- /dev/null
+++ b/libs/membership/src/wisteria_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are live, unreachable, paused, leaving or gone."""
--- /dev/null
+++ b/libs/ownership/src/wisteria_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Exactly one owner for each slot without a consensus group."""
--- /dev/null
+++ b/libs/routing/src/wisteria_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Backend server choice, retries and poison requests."""
--- /dev/null
+++ b/script/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the scripts."""
