Add thin stand-ins of the platform and of a backend server

Cause: the whole path needs a configuration service, a VM list and backend servers that count runs, all on loopback. Ruled out: hypercorn for the stand-ins (a few thousand calls/s are wanted from one process); the daemon's own HTTP code (a shared mistake would hide itself). Before: nothing.

--- /dev/null
+++ b/libs/standins/src/wisteria_standins/downloads.py
@@ -0,0 +1,71 @@
+"""Long downloads of a backend server: entity tags, ranges, stalls and cuts."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from .behaviour import Behaviour, Rule
+from .const import MS_PER_S
+from .content import BLOCK_BYTES, make_etag, read_content
+from .http import Request, Response
+
+_STALL_S = 3_600.0
+
+
+def answer_download(
+    request: Request, rule: Rule, read_behaviour: Callable[[], Behaviour]
+) -> Response:
+    """Return the whole content of `rule`, or the range of it that the request asks for.
+
+    `read_behaviour` gives the behaviour at each chunk, so that a stall or a cut can be set
+    while the download runs.
+    """
+    seed = read_behaviour().seed
+    size = rule.answer_bytes
+    etag = make_etag(seed, size)
+    headers = [(b"etag", etag.encode()), (b"accept-ranges", b"bytes")]
+    start, end = parse_range(request.header(b"range"), size)
+    if request.header(b"if-range") not in ("", etag):
+        start, end = 0, size
+    if start >= end and size:
+        headers.append((b"content-range", b"bytes */%d" % size))
+        return Response(416, headers)
+    status = 206 if (start, end) != (0, size) else 200
+    if status == 206:
+        headers.append((b"content-range", b"bytes %d-%d/%d" % (start, end - 1, size)))
+    stream = _stream(rule, start, end, read_behaviour)
+    return Response(status, headers, stream=stream, stream_bytes=end - start)
+
+
+def parse_range(value: str, size: int) -> tuple[int, int]:
+    """Return the start and the end (excluded) that a Range header asks for.
+
+    An absent or malformed header asks for everything; start >= end can't be satisfied.
+    """
+    unit, _, span = value.partition("=")
+    first, dash, last = span.partition("-")
+    if unit != "bytes" or not dash or "," in span:
+        return 0, size
+    if not first:
+        return (max(0, size - int(last)), size) if last.isdigit() else (0, size)
+    if not first.isdigit() or (last and not last.isdigit()):
+        return 0, size
+    return int(first), min(size, int(last) + 1) if last else size
+
+
+async def _stream(
+    rule: Rule, start: int, end: int, read_behaviour: Callable[[], Behaviour]
+) -> AsyncIterator[bytes]:
+    position = start
+    while position < end:
+        behaviour = read_behaviour()
+        stall = behaviour.stall_after_bytes
+        if stall is not None and position >= stall:
+            await asyncio.sleep(_STALL_S)
+        cut = behaviour.cut_after_bytes
+        if cut is not None and position >= cut:
+            return
+        take = min(BLOCK_BYTES, end - position)
+        yield read_content(behaviour.seed, position, take)
+        position += take
+        if rule.chunk_ms:
+            await asyncio.sleep(rule.chunk_ms / MS_PER_S)
