--- a/libs/admission/src/wisteria_admission/__init__.py
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -1,1 +1,42 @@
 """Adaptive concurrency limit, priority queue and load shedding."""
+
+from .chain import ChainLevels
+from .config import AdmissionConfig, LevelConfig, LimiterConfig
+from .const import RANK_COUNT
+from .gate import AdmissionGate
+from .limiters import AimdLimiter, FixedLimiter, GradientLimiter, Limiter
+from .models import (
+    Action,
+    AdmissionLevel,
+    Dispatch,
+    Offer,
+    Outcome,
+    Queued,
+    Refuse,
+    Ticket,
+    Verdict,
+)
+from .rank import shed_rank
+
+__all__ = [
+    "RANK_COUNT",
+    "Action",
+    "AdmissionConfig",
+    "AdmissionGate",
+    "AdmissionLevel",
+    "AimdLimiter",
+    "ChainLevels",
+    "Dispatch",
+    "FixedLimiter",
+    "GradientLimiter",
+    "LevelConfig",
+    "Limiter",
+    "LimiterConfig",
+    "Offer",
+    "Outcome",
+    "Queued",
+    "Refuse",
+    "Ticket",
+    "Verdict",
+    "shed_rank",
+]
--- /dev/null
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -0,0 +1,87 @@
+"""Tunable parameters of admission."""
+
+import attrs
+
+
+@attrs.frozen
+class LimiterConfig:
+    """Parameters of the concurrency limiters.
+
+    Parameters
+    ----------
+    floor : int
+        Lowest limit.
+    initial : int
+        Limit at a cold start.
+    window_ms : int
+        Shortest time between two adjustments.
+    min_samples : int
+        Samples that an adjustment needs.
+    tolerance : float
+        Latency over the baseline that is still taken for normal.
+    backoff : float
+        Factor of a multiplicative decrease.
+    baseline_drift : float
+        Share of the gap to a higher latency that the baseline closes in each window.
+    """
+
+    floor: int = 2
+    initial: int = 8
+    window_ms: int = 100
+    min_samples: int = 5
+    tolerance: float = 1.5
+    backoff: float = 0.9
+    baseline_drift: float = 0.02
+
+
+@attrs.frozen
+class LevelConfig:
+    """Parameters of the shedding level.
+
+    Parameters
+    ----------
+    interval_ms : int
+        Time between two adjustments.
+    target_wait_ms : int
+        Expected queueing delay above which the level falls; it rises below half of it.
+    max_cut : float
+        Largest share of the arrivals that one adjustment sheds.
+    min_step, max_step : int
+        Ranks by which one adjustment raises the level: doubling from the first to the second.
+    """
+
+    interval_ms: int = 50
+    target_wait_ms: int = 40
+    max_cut: float = 0.3
+    min_step: int = 8
+    max_step: int = 128
+
+
+@attrs.frozen
+class AdmissionConfig:
+    """Parameters of one admission gate.
+
+    Parameters
+    ----------
+    reserve_share : float
+        Share of the slots that only urgent calls may take.
+    long_share : float
+        Share of the slots that long downloads may take together.
+    queue_per_slot : int
+        Queued calls allowed for each slot, in each class.
+    newest_first : bool
+        Serve the newest call of an account first.
+    recheck_wait_factor : float
+        Part of the expected wait that a queued call must still be able to afford.
+    max_retry_after_ms : int
+        Upper bound of the advice to come back.
+    """
+
+    limiter: LimiterConfig = LimiterConfig()
+    level: LevelConfig = LevelConfig()
+    reserve_share: float = 0.1
+    long_share: float = 0.25
+    queue_per_slot: int = 4
+    newest_first: bool = False
+    recheck_wait_factor: float = 0.5
+    max_retry_after_ms: int = 10_000
--- /dev/null
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -0,0 +1,78 @@
+"""Shedding level of one serving daemon: a threshold over the shed ranks."""
+
+import attrs
+
+from .config import LevelConfig
+from .const import RANK_COUNT, RANKS_PER_PRIORITY
+
+
+@attrs.define
+class LevelController:
+    """Moves the threshold down while calls wait too long and up again in growing steps.
+
+    A cut removes the share of recent arrivals that exceeds what was served, read off the
+    ranks that arrived. Between half the target wait and the target nothing moves.
+
+    Parameters
+    ----------
+    config : LevelConfig
+        Parameters.
+    """
+
+    config: LevelConfig
+    threshold: int = RANK_COUNT
+    _step: int = attrs.field(init=False)
+    _updated_ms: int = attrs.field(init=False, default=0)
+    _ranks: list[int] = attrs.field(init=False, factory=list)
+    _served: int = attrs.field(init=False, default=0)
+
+    def __attrs_post_init__(self) -> None:
+        self._step = self.config.min_step
+
+    def admits(self, rank: int) -> bool:
+        """Return whether calls of `rank` are admitted at present."""
+        return rank < self.threshold
+
+    def note_arrival(self, rank: int) -> None:
+        """Count an arrival, admitted or not."""
+        self._ranks.append(rank)
+
+    def note_served(self) -> None:
+        """Count a dispatched call."""
+        self._served += 1
+
+    def update(self, now_ms: int, wait_ms: float, urgent_wait_ms: float) -> None:
+        """Adjust the threshold when an interval has passed.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time.
+        wait_ms : float
+            Expected wait of a newcomer behind everything that is queued.
+        urgent_wait_ms : float
+            Expected wait behind the urgent calls alone; only that may shed urgent calls.
+        """
+        if now_ms - self._updated_ms < self.config.interval_ms:
+            return
+        self._updated_ms = now_ms
+        if wait_ms > self.config.target_wait_ms:
+            self._cut(0 if urgent_wait_ms > self.config.target_wait_ms else RANKS_PER_PRIORITY)
+        elif 2 * wait_ms < self.config.target_wait_ms:
+            self._raise()
+        self._ranks.clear()
+        self._served = 0
+
+    def _cut(self, lowest: int) -> None:
+        self._step = self.config.min_step
+        admitted = sorted(rank for rank in self._ranks if rank < self.threshold)
+        if not admitted:
+            return
+        excess = 1.0 - self._served / len(admitted)
+        share = min(self.config.max_cut, max(0.02, excess))
+        cut_at = admitted[int(len(admitted) * (1.0 - share))]
+        self.threshold = max(lowest, min(self.threshold, cut_at))
+
+    def _raise(self) -> None:
+        self.threshold = min(RANK_COUNT, self.threshold + self._step)
+        self._step = min(self.config.max_step, 2 * self._step)
--- /dev/null
+++ b/libs/admission/src/wisteria_admission/models.py
@@ -0,0 +1,127 @@
+"""Tickets, verdicts, actions and the level message of admission."""
+
+import enum
+from collections.abc import Hashable
+
+import attrs
+
+from wisteria_core import Priority, Refusal
+
+from .const import RANK_COUNT
+
+
+class Outcome(enum.Enum):
+    """How a dispatched call ended, as far as the concurrency limit is concerned."""
+
+    SUCCESS = "success"
+    ERROR = "error"
+    TIMEOUT = "timeout"
+    REJECTED = "rejected"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen
+class Ticket:
+    """A call that asks to run.
+
+    Parameters
+    ----------
+    call_id : Hashable
+        Unique among the calls that are queued or running.
+    account : str
+        Client account that the call is served for.
+    weight : int
+        Weight of the account, at least 1.
+    priority : Priority
+        Priority of the request.
+    rank : int
+        Shed rank of the request, see `shed_rank`.
+    deadline_at_ms : int
+        Deadline on the clock of this daemon.
+    cost_ms : int
+        Expected run time; 0 when unknown.
+    long_download : bool
+        Whether the call belongs to the class of long downloads.
+    route : str
+        Name under which run times are learnt.
+    key_id : str
+        Identifier (never the secret) of the caller's key, for `AdmissionGate.withdraw`.
+    """
+
+    call_id: Hashable
+    account: str
+    weight: int
+    priority: Priority
+    rank: int
+    deadline_at_ms: int
+    cost_ms: int = 0
+    long_download: bool = False
+    route: str = ""
+    key_id: str = ""
+
+
+@attrs.frozen
+class Dispatch:
+    """Send the call to the backend server now."""
+
+    call_id: Hashable
+
+
+@attrs.frozen
+class Refuse:
+    """Give a queued call its final answer now; it has not run."""
+
+    call_id: Hashable
+    refusal: Refusal
+
+
+@attrs.frozen
+class Queued:
+    """The call waits; a later action dispatches or refuses it."""
+
+    expected_wait_ms: int
+
+
+Action = Dispatch | Refuse
+Verdict = Dispatch | Queued | Refusal
+
+
+@attrs.frozen
+class Offer:
+    """Answer to one offered ticket.
+
+    Parameters
+    ----------
+    verdict : Dispatch, Queued or Refusal
+        What happens to the offered call.
+    evicted : tuple of Refuse
+        Queued calls that made room for it; each gets its refusal at once.
+    """
+
+    verdict: Verdict
+    evicted: tuple[Refuse, ...] = ()
+
+
+@attrs.frozen
+class AdmissionLevel:
+    """Message on an answer: which shed ranks a backend server admits.
+
+    Parameters
+    ----------
+    service : str
+        Service that the level belongs to.
+    vm_id : str
+        VM that reported it.
+    threshold : int
+        Ranks below it are admitted; `RANK_COUNT` admits all.
+    over_share : bool
+        Whether the account of this call uses more than its fair share there.
+    age_ms : int
+        Age of the level when the answer was sent, for levels passed on.
+    """
+
+    service: str
+    vm_id: str
+    threshold: int = RANK_COUNT
+    over_share: bool = False
+    age_ms: int = 0
