Validate the configuration document whole, with the place of each fault

Cause: daemon and command line need one validator and one model. Ruled out: cattrs' own coercion (takes "5" for 5 and any iterable for a list), so each field carries its constraint, which also makes docs/CONFIGURATION.md; msgspec decoding, which stops at the first fault and does not see duplicate keys. Before: nothing. Paths that servers may read in two ways match no route, since an open prefix would otherwise let /public/../orders through. Conclusion: interface fixed for the other libraries.

--- a/libs/config/src/wisteria_config/__init__.py
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -1,1 +1,35 @@
-"""The one configuration document: model, validation, differences, dissemination."""
+"""The configuration document: model, validation, differences, dissemination."""
+
+from .canonical import canonical_bytes, document_digest
+from .const import MAX_DOCUMENT_BYTES, PUBLIC_ACCOUNT
+from .models import (
+    Account,
+    Document,
+    DocumentError,
+    DocumentErrors,
+    KeyRecord,
+    PublicPolicy,
+    Route,
+    Service,
+)
+from .validation import validate_document
+from .versions import VersionOrder, VersionStamp, compare_versions
+
+__all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "PUBLIC_ACCOUNT",
+    "Account",
+    "Document",
+    "DocumentError",
+    "DocumentErrors",
+    "KeyRecord",
+    "PublicPolicy",
+    "Route",
+    "Service",
+    "VersionOrder",
+    "VersionStamp",
+    "canonical_bytes",
+    "compare_versions",
+    "document_digest",
+    "validate_document",
+]
--- /dev/null
+++ b/libs/config/src/wisteria_config/models.py
@@ -0,0 +1,275 @@
+"""The configuration document: client accounts, keys, services, routes.
+
+The meaning and the bounds of each field stand in its metadata; validation and
+docs/CONFIGURATION.md are both made from there.
+"""
+
+import functools
+import hashlib
+import hmac
+
+import attrs
+
+from wisteria_core import Priority
+
+from . import const
+from .constraints import Flag, IntegerRange, Names, NumberRange, OneOf, PriorityName, Text, about
+from .paths import RouteIndex
+
+NAME = Text(
+    const.NAME_PATTERN,
+    "a name of 1 to 63 lower-case letters, digits, dots, underscores and hyphens that starts "
+    "and ends with a letter or digit",
+)
+RATE = IntegerRange(1, const.MAX_RATE_PER_S)
+BURST = IntegerRange(1, const.MAX_BURST_CALLS)
+WEIGHT = IntegerRange(1, const.MAX_WEIGHT)
+
+
+@attrs.frozen
+class Account:
+    """A client account: what its callers may use across the whole fleet."""
+
+    name: str = attrs.field(metadata=about("Name, unique; `public` is reserved.", NAME))
+    rate_per_s: int = attrs.field(metadata=about("Sustained rate, calls/s, over all VMs.", RATE))
+    burst: int = attrs.field(metadata=about("Calls admitted at once above the rate.", BURST))
+    weight: int = attrs.field(
+        default=const.DEFAULT_WEIGHT,
+        metadata=about("Share of a busy queue, relative to other accounts.", WEIGHT),
+    )
+
+
+@attrs.frozen
+class PublicPolicy:
+    """The account under which calls of open routes run."""
+
+    rate_per_s: int = attrs.field(metadata=about("Sustained rate, calls/s, over all VMs.", RATE))
+    burst: int = attrs.field(metadata=about("Calls admitted at once above the rate.", BURST))
+    weight: int = attrs.field(
+        default=1, metadata=about("Share of a busy queue, relative to other accounts.", WEIGHT)
+    )
+
+
+@attrs.frozen
+class KeyRecord:
+    """A key of a client account, stored as its digest."""
+
+    id: str = attrs.field(metadata=about("Name for operators, unique; not the key itself.", NAME))
+    sha256: str = attrs.field(
+        metadata=about(
+            "SHA-256 digest of the key, unique. Keys are ASCII.",
+            Text(const.SHA256_PATTERN, "64 lower-case hexadecimal digits"),
+        )
+    )
+    account: str = attrs.field(metadata=about("Client account that the key acts for.", NAME))
+
+
+@attrs.frozen
+class Service:
+    """A service whose backend servers the daemons protect."""
+
+    name: str = attrs.field(metadata=about("Name, unique.", NAME))
+    retry_ratio: float = attrs.field(
+        default=const.DEFAULT_RETRY_RATIO,
+        metadata=about("Retries allowed for each first attempt, on average.", NumberRange(0, 1)),
+    )
+    concurrency_min: int = attrs.field(
+        default=const.DEFAULT_CONCURRENCY_MIN,
+        metadata=about(
+            "Floor of the concurrency limit of a backend server, calls in flight.",
+            IntegerRange(1, const.MAX_CONCURRENCY),
+        ),
+    )
+    concurrency_max: int = attrs.field(
+        default=const.DEFAULT_CONCURRENCY_MAX,
+        metadata=about(
+            "Ceiling of the concurrency limit of a backend server, calls in flight; not under "
+            "`concurrency_min`.",
+            IntegerRange(1, const.MAX_CONCURRENCY),
+        ),
+    )
+    connections_max: int = attrs.field(
+        default=const.DEFAULT_CONNECTIONS_MAX,
+        metadata=about(
+            "Connections to one backend server.", IntegerRange(1, const.MAX_CONNECTIONS)
+        ),
+    )
+    crash_limit: int = attrs.field(
+        default=const.DEFAULT_CRASH_LIMIT,
+        metadata=about(
+            "Backend server crashes in the whole fleet after which one request is refused for "
+            "good.",
+            IntegerRange(1, const.MAX_CRASHES),
+        ),
+    )
+
+
+@attrs.frozen
+class Route:
+    """The policy for the calls that one method and path pattern match."""
+
+    id: str = attrs.field(metadata=about("Name, unique.", NAME))
+    service: str = attrs.field(metadata=about("Service that answers.", NAME))
+    method: str = attrs.field(metadata=about("HTTP method.", OneOf(const.METHODS)))
+    path: str = attrs.field(
+        metadata=about(
+            "Pattern, matched by whole segments as a prefix; `{name}` stands for any one "
+            "segment. The longest match wins, a literal segment before `{name}`.",
+            Text(const.PATH_PATTERN, 'a path such as "/stalls/{stall}/status", without query'),
+        )
+    )
+    open: bool = attrs.field(
+        default=False,
+        metadata=about("Needs no key; runs under the public account.", Flag()),
+    )
+    repeatable: bool = attrs.field(
+        default=False,
+        metadata=about(
+            "May run more than once; otherwise callers send `Idempotency-Key` and it runs at "
+            "most once.",
+            Flag(),
+        ),
+    )
+    priority: Priority = attrs.field(
+        default=Priority.NORMAL, metadata=about("Order under overload.", PriorityName())
+    )
+    deadline_ms: int = attrs.field(
+        default=const.DEFAULT_DEADLINE_MS,
+        metadata=about(
+            "Longest time for a call, ms; a caller may ask for less.",
+            IntegerRange(1, const.MAX_DEADLINE_MS),
+        ),
+    )
+    retry_allowance: int = attrs.field(
+        default=const.DEFAULT_RETRY_ALLOWANCE,
+        metadata=about(
+            "Retries for one request over its whole chain of calls.",
+            IntegerRange(0, const.MAX_RETRY_ALLOWANCE),
+        ),
+    )
+    long_download: bool = attrs.field(
+        default=False,
+        metadata=about("Streams a long answer; only for a repeatable GET.", Flag()),
+    )
+    stall_ms: int = attrs.field(
+        default=const.DEFAULT_STALL_MS,
+        metadata=about(
+            "Time without a byte after which a long download counts as stalled, ms.",
+            IntegerRange(1, const.MAX_STALL_MS),
+        ),
+    )
+    accounts: tuple[str, ...] = attrs.field(
+        default=(),
+        metadata=about("Client accounts that may call; all when left out.", Names(NAME)),
+    )
+
+    def permits(self, account: str) -> bool:
+        """Return whether callers of `account` may use this route."""
+        return not self.accounts or account in self.accounts
+
+
+@attrs.frozen
+class Document:
+    """The one configuration document. Lists are ordered by name."""
+
+    schema: int = attrs.field(
+        metadata=about("Schema of the document.", IntegerRange(const.SCHEMA, const.SCHEMA))
+    )
+    version: int = attrs.field(
+        metadata=about(
+            "Rises with each change; a lower version never replaces a higher one.",
+            IntegerRange(1, const.MAX_VERSION),
+        )
+    )
+    public: PublicPolicy = attrs.field(metadata=about("Account for open routes."))
+    accounts: tuple[Account, ...] = attrs.field(default=(), metadata=about("Client accounts."))
+    keys: tuple[KeyRecord, ...] = attrs.field(default=(), metadata=about("Keys of accounts."))
+    services: tuple[Service, ...] = attrs.field(default=(), metadata=about("Services."))
+    routes: tuple[Route, ...] = attrs.field(default=(), metadata=about("Route policies."))
+
+    @functools.cached_property
+    def _accounts_by_name(self) -> dict[str, Account]:
+        accounts = {account.name: account for account in self.accounts}
+        accounts[const.PUBLIC_ACCOUNT] = Account(
+            const.PUBLIC_ACCOUNT, self.public.rate_per_s, self.public.burst, self.public.weight
+        )
+        return accounts
+
+    @functools.cached_property
+    def _keys_by_digest(self) -> dict[str, KeyRecord]:
+        return {key.sha256: key for key in self.keys}
+
+    @functools.cached_property
+    def _services_by_name(self) -> dict[str, Service]:
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def _route_index(self) -> "RouteIndex[Route]":
+        return RouteIndex.build((route.method, route.path, route) for route in self.routes)
+
+    def find_account(self, name: str) -> Account | None:
+        """Return the client account of that name; ``public`` is the one of open routes."""
+        return self._accounts_by_name.get(name)
+
+    def find_service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+        return self._services_by_name.get(name)
+
+    def find_key(self, presented: str) -> KeyRecord | None:
+        """Return the record of the key that a caller presents, or None when it has none.
+
+        The lookup goes by the digest, which a caller cannot steer, and the stored digest is
+        compared in constant time.
+        """
+        if not presented.isascii():
+            return None
+        sha256 = hashlib.sha256(presented.encode()).hexdigest()
+        record = self._keys_by_digest.get(sha256)
+        if record is None or not hmac.compare_digest(record.sha256, sha256):
+            return None
+        return record
+
+    def holds_key(self, key_id: str, sha256: str) -> bool:
+        """Return whether a key that was accepted earlier still stands, unchanged."""
+        record = self._keys_by_digest.get(sha256)
+        return record is not None and record.id == key_id
+
+    def match_route(self, method: str, path: str) -> Route | None:
+        """Return the route with the longest pattern that matches, or None.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method in upper case.
+        path : str
+            Request target in origin form; a query is ignored. A path that servers may read
+            in more than one way (dot segments, empty segments, encoded separators) matches
+            no route.
+        """
+        return self._route_index.find(method, path)
+
+
+@attrs.frozen
+class DocumentError:
+    """One fault of a document.
+
+    Parameters
+    ----------
+    place : str
+        JSON path of the value at fault; ``$`` is the whole document.
+    problem : str
+        What is wrong and what is allowed; never holds a key.
+    """
+
+    place: str
+    problem: str
+
+
+@attrs.frozen
+class DocumentErrors:
+    """A document refused as a whole, with every fault that was found."""
+
+    errors: tuple[DocumentError, ...]
+
+    def __str__(self) -> str:
+        return "; ".join(f"{error.place}: {error.problem}" for error in self.errors)
--- /dev/null
+++ b/libs/config/src/wisteria_config/structure.py
@@ -0,0 +1,133 @@
+"""Turn parsed JSON into attrs classes and back, with the place of each fault."""
+
+from collections.abc import Callable, Iterator
+from types import GenericAlias
+from typing import Any, get_args, get_origin
+
+import attrs
+import cattrs
+from cattrs import (
+    AttributeValidationNote,
+    ClassValidationError,
+    IterableValidationError,
+    IterableValidationNote,
+)
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+from wisteria_core import Priority
+
+from .constraints import ConstraintError, read_about, show
+from .models import (
+    Account,
+    Document,
+    DocumentError,
+    DocumentErrors,
+    KeyRecord,
+    PublicPolicy,
+    Route,
+    Service,
+)
+
+PARTS: tuple[type[Any], ...] = (Account, PublicPolicy, KeyRecord, Service, Route, Document)
+
+Hook = Callable[[Any, Any], Any]
+
+
+def _read_object(structure: Hook) -> Hook:
+    """Wrap a hook of an attrs class so that it refuses anything but an object."""
+
+    def read(value: object, kind: Any) -> Any:
+        if not isinstance(value, dict):
+            raise ConstraintError(f"{show(value)} is not an object")
+        return structure(value, kind)
+
+    return read
+
+
+def _read_list(converter: cattrs.Converter) -> Hook:
+    """Return a hook for a tuple of attrs classes that refuses anything but a list."""
+
+    def read(value: object, kind: Any) -> Any:
+        if not isinstance(value, list):
+            raise ConstraintError(f"{show(value)} is not a list")
+        items: Any = GenericAlias(list, get_args(kind)[:1])
+        return tuple(converter.structure(value, items))
+
+    return read
+
+
+def _field_hook(converter: cattrs.Converter, field: "attrs.Attribute[Any]") -> Hook:
+    constraint = read_about(field).constraint
+    if constraint is not None:
+        return lambda value, _kind: constraint.convert(value)
+    if get_origin(field.type) is tuple:
+        return _read_list(converter)
+    return lambda value, kind: converter.structure(value, kind)
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    converter.register_unstructure_hook(Priority, lambda priority: priority.name.lower())
+    for part in PARTS:
+        hooks: dict[str, Any] = {
+            field.name: override(struct_hook=_field_hook(converter, field))
+            for field in attrs.fields(part)
+        }
+        structure = make_dict_structure_fn(
+            part,
+            converter,
+            _cattrs_forbid_extra_keys=True,
+            _cattrs_detailed_validation=True,
+            **hooks,
+        )
+        converter.register_structure_hook(part, _read_object(structure))
+        unstructure = make_dict_unstructure_fn(part, converter, _cattrs_omit_if_default=True)
+        converter.register_unstructure_hook(part, unstructure)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def structure_document(plain: dict[str, Any]) -> Document | DocumentErrors:
+    """Return the document that parsed JSON describes, or every fault of its fields."""
+    try:
+        return _CONVERTER.structure(plain, Document)
+    except (ClassValidationError, IterableValidationError) as group:
+        return DocumentErrors(tuple(_list_faults(group, "$")))
+
+
+def unstructure(part: object) -> dict[str, Any]:
+    """Return plain data for the document or a part of it; defaults are left out."""
+    plain: dict[str, Any] = _CONVERTER.unstructure(part)
+    return plain
+
+
+def _list_faults(error: BaseException, place: str) -> Iterator[DocumentError]:
+    match error:
+        case ClassValidationError():
+            noted, rest = error.group_exceptions()
+            for fault, note in noted:
+                yield from _list_faults(fault, _join(place, note))
+            for fault in rest:
+                yield from _list_faults(fault, place)
+        case IterableValidationError():
+            items, rest = error.group_exceptions()
+            for fault, item in items:
+                yield from _list_faults(fault, _join(place, item))
+            for fault in rest:
+                yield from _list_faults(fault, place)
+        case ForbiddenExtraKeysError():
+            for name in sorted(error.extra_fields):
+                yield DocumentError(place, f"has the unknown field {show(name)}")
+        case KeyError():
+            yield DocumentError(place, "is missing")
+        case _:
+            yield DocumentError(place, str(error))
+
+
+def _join(place: str, note: AttributeValidationNote | IterableValidationNote) -> str:
+    if isinstance(note, AttributeValidationNote):
+        return f"{place}.{note.name}"
+    return f"{place}[{note.index}]"
--- /dev/null
+++ b/tests/config/test_paths.py
@@ -0,0 +1,42 @@
+import pytest
+
+from wisteria_config.paths import RouteIndex
+
+PATTERNS = ["/", "/stalls", "/stalls/{stall}", "/stalls/{stall}/status", "/stalls/all", "/{x}/y/z"]
+
+
+@pytest.mark.parametrize(
+    ("path", "pattern"),
+    [
+        ("/", "/"),
+        ("/other", "/"),
+        ("/stallsX", "/"),
+        ("/stalls/", "/stalls"),
+        ("/stalls?id=/x", "/stalls"),
+        ("/stalls/9", "/stalls/{stall}"),
+        ("/stalls/all", "/stalls/all"),
+        ("/stalls/all/other", "/stalls/all"),
+        ("/stalls/all/status/7", "/stalls/{stall}/status"),
+        ("/stalls/y/z", "/{x}/y/z"),
+        ("/%73talls/9", "/stalls/{stall}"),
+        ("/stalls/../orders", None),
+        ("/stalls/%2e%2E/orders", None),
+        ("/stalls/..;a=1/orders", None),
+        ("/stalls//9", None),
+        ("/stalls%2f9", None),
+        ("/stalls%5c9", None),
+        ("/stalls%252f9", None),
+        ("/stalls\\9", None),
+        ("/stalls/%00", None),
+        ("http://host/stalls", None),
+        ("stalls", None),
+        ("", None),
+        ("*", None),
+    ],
+)
+def test_longest_pattern_wins_and_ambiguous_paths_match_none(
+    path: str, pattern: str | None
+) -> None:
+    index = RouteIndex.build(("GET", pattern, pattern) for pattern in PATTERNS)
+    assert index.find("GET", path) == pattern
+    assert index.find("POST", path) is None
