Read the daemon's settings from TOML, with every error named at once

Cause: a daemon that starts with wrong settings must say which key, what is wrong and what is allowed. Ruled out: cattrs' whole-class validation; it stops at the first failed attrs check of a class, so cattrs converts single values and a small reader collects. After: 12 tests, any value of any type gives settings or named errors; docs/SETTINGS.md is made from the classes and checked against them.

--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -0,0 +1,296 @@
+"""The daemon's settings: one TOML file, read once at start, with every error named."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+
+from .const import (
+    DEFAULT_BACKOFF_FIRST_MS,
+    DEFAULT_BACKOFF_MAX_MS,
+    DEFAULT_DRAIN_PATH,
+    DEFAULT_HEALTH_PATH,
+    DEFAULT_HEARTBEAT_MS,
+    DEFAULT_LOAD_PATH,
+    DEFAULT_LOOP_GAP_MS,
+    DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_POLL_MS,
+    DEFAULT_READ_TIMEOUT_MS,
+    DEFAULT_STOP_LIMIT_MS,
+    DEFAULT_WATCH_TIMEOUT_MS,
+    LOG_FORMATS,
+    LOG_LEVELS,
+    LOG_LOGFMT,
+)
+from .settings_rules import (
+    FILE,
+    IP_NUMBER,
+    META_RULE,
+    NAME,
+    PORT,
+    TIME,
+    URL,
+    URL_PATH,
+    Rule,
+    between,
+    one_of,
+    setting,
+)
+
+
+@attrs.frozen
+class SettingsError:
+    """One thing wrong with the settings.
+
+    Parameters
+    ----------
+    key : str
+        Dotted name of the key, or the file's name when it cannot be read.
+    problem : str
+        What is wrong with its value.
+    allowed : str
+        What may stand there.
+    """
+
+    key: str
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.problem}; allowed: {self.allowed}"
+
+
+@attrs.frozen
+class SettingsErrors:
+    """Everything wrong with the settings, in the order of the sections."""
+
+    errors: tuple[SettingsError, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(error) for error in self.errors)
+
+
+@attrs.frozen(kw_only=True)
+class VmSettings:
+    """Who this daemon is."""
+
+    id: str = setting("Name of the VM, as the platform's list gives it.", NAME)
+    service: str = setting("Service whose backend server runs on the VM.", NAME)
+    failure_domain: str = setting("Failure domain that the VM stands in.", NAME)
+
+
+@attrs.frozen(kw_only=True)
+class ListenSettings:
+    """Where the daemon listens."""
+
+    host: str = setting("IP number of the VM.", IP_NUMBER)
+    caller_port: int = setting("TCP port for callers and for child calls.", PORT)
+    peer_port: int = setting("TCP port for other daemons.", PORT)
+    operator_port: int = setting("TCP port for operators and metrics.", PORT)
+
+
+@attrs.frozen(kw_only=True)
+class BackendSettings:
+    """The backend server beside the daemon."""
+
+    host: str = setting("IP number of the backend server.", IP_NUMBER, "127.0.0.1")
+    port: int = setting("TCP port of the backend server.", PORT)
+    slots: int = setting("Calls that it runs at the same time.", between(1, 10_000, "calls"))
+    max_connections: int = setting(
+        "Connections to it at most.", between(1, 10_000, "connections"), DEFAULT_MAX_CONNECTIONS
+    )
+    health_path: str = setting("Path of its health endpoint.", URL_PATH, DEFAULT_HEALTH_PATH)
+    load_path: str = setting("Path of its load endpoint.", URL_PATH, DEFAULT_LOAD_PATH)
+    drain_path: str = setting("Path that is told of a drain.", URL_PATH, DEFAULT_DRAIN_PATH)
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """What the platform publishes, and where."""
+
+    config_url: str = setting("URL of the configuration document.", URL)
+    vms_url: str = setting("URL of the list of VMs.", URL)
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """Certificates and keys, as PEM files."""
+
+    peer_certificate: Path = setting("Certificate shown to other daemons.", FILE)
+    peer_key: Path = setting("Key of that certificate.", FILE)
+    peer_ca: Path = setting("Authority whose certificates other daemons must show.", FILE)
+    caller_certificate: Path | None = setting(
+        "Certificate shown to callers; without it they are served in the clear.", FILE, None
+    )
+    caller_key: Path | None = setting("Key of that certificate.", FILE, None)
+
+
+@attrs.frozen(kw_only=True)
+class LogSettings:
+    """How log lines are written, on standard error."""
+
+    format: str = setting("Form of a log line.", one_of(LOG_FORMATS), LOG_LOGFMT)
+    level: str = setting("Least level that is written.", one_of(LOG_LEVELS), "info")
+
+
+@attrs.frozen(kw_only=True)
+class TimingSettings:
+    """Times and limits, all in milliseconds."""
+
+    watch_timeout_ms: int = setting(
+        "Longest wait of one watch at the platform.", TIME, DEFAULT_WATCH_TIMEOUT_MS
+    )
+    read_timeout_ms: int = setting(
+        "Longest wait for an answer of the platform.", TIME, DEFAULT_READ_TIMEOUT_MS
+    )
+    backoff_first_ms: int = setting(
+        "First pause after a failed read.", TIME, DEFAULT_BACKOFF_FIRST_MS
+    )
+    backoff_max_ms: int = setting("Longest pause after failed reads.", TIME, DEFAULT_BACKOFF_MAX_MS)
+    heartbeat_ms: int = setting(
+        "Time between two heartbeats to other daemons.", TIME, DEFAULT_HEARTBEAT_MS
+    )
+    poll_ms: int = setting(
+        "Time between two reads of the backend server's health and load.", TIME, DEFAULT_POLL_MS
+    )
+    stop_limit_ms: int = setting(
+        "Longest time for calls in flight to finish at a stop.", TIME, DEFAULT_STOP_LIMIT_MS
+    )
+    loop_gap_ms: int = setting(
+        "Pause of the process after which its view counts as outdated.", TIME, DEFAULT_LOOP_GAP_MS
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one daemon; a section with defaults throughout may be left out."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    backend: BackendSettings
+    platform: PlatformSettings
+    tls: TlsSettings
+    log: LogSettings = LogSettings()
+    timing: TimingSettings = TimingSettings()
+
+
+def _structure_exactly(value: Any, wanted: type) -> Any:
+    if type(value) is not wanted:
+        raise TypeError(f"{value!r} is not {_TYPE_WORDS[wanted]}")
+    return value
+
+
+_TYPE_WORDS = {int: "a whole number", str: "a string"}
+
+
+def _make_converter(folder: Path) -> cattrs.Converter:
+    converter = cattrs.Converter()
+    for plain in (int, str):
+        converter.register_structure_hook(plain, _structure_exactly)
+    converter.register_structure_hook(
+        Path, lambda value, _: folder / _structure_exactly(value, str)
+    )
+    return converter
+
+
+@attrs.define
+class _Reader:
+    """Reads sections and collects what is wrong with them."""
+
+    converter: cattrs.Converter
+    errors: list[SettingsError] = attrs.field(factory=list)
+
+    def read(self, document: dict[str, Any]) -> Settings | None:
+        """Return the settings, or None when an error was found."""
+        sections = attrs.fields(Settings)
+        self._refuse_unknown("", document, [section.name for section in sections])
+        values = {}
+        for section in sections:
+            values[section.name] = self._read_section(section, document.get(section.name))
+        if self.errors:
+            return None
+        settings = Settings(**values)
+        self._check_together(settings)
+        return None if self.errors else settings
+
+    def _read_section(self, section: "attrs.Attribute[Any]", table: Any) -> Any:
+        cls: Any = section.type
+        if table is None:
+            table = {}
+        if not isinstance(table, dict):
+            self._add(section.name, f"{table!r} is not a table", f"a [{section.name}] table")
+            return None
+        fields = attrs.fields(cls)
+        self._refuse_unknown(f"{section.name}.", table, [field.name for field in fields])
+        values = {}
+        for field in fields:
+            key = f"{section.name}.{field.name}"
+            if field.name in table:
+                values[field.name] = self._read_value(key, field, table[field.name])
+            elif field.default is attrs.NOTHING:
+                self._add(key, "is missing", field.metadata[META_RULE].allowed)
+        return None if self.errors else cls(**values)
+
+    def _read_value(self, key: str, field: "attrs.Attribute[Any]", raw: Any) -> Any:
+        rule: Rule = field.metadata[META_RULE]
+        try:
+            value = self.converter.structure(raw, field.type)  # type: ignore[arg-type]
+        except (TypeError, ValueError) as error:
+            self._add(key, str(error), rule.allowed)
+            return None
+        if not rule.is_allowed(value):
+            self._add(key, f"{raw!r} is not allowed", rule.allowed)
+        return value
+
+    def _refuse_unknown(self, prefix: str, table: dict[str, Any], known: list[str]) -> None:
+        for name in table:
+            if name not in known:
+                self._add(f"{prefix}{name}", "is not a known key", ", ".join(known))
+
+    def _check_together(self, settings: Settings) -> None:
+        listen = settings.listen
+        ports = (listen.caller_port, listen.peer_port, listen.operator_port)
+        if len(set(ports)) < len(ports):
+            self._add("listen", f"ports {ports} are not distinct", "three different ports")
+        tls = settings.tls
+        if (tls.caller_certificate is None) != (tls.caller_key is None):
+            allowed = "both of caller_certificate and caller_key, or neither"
+            self._add("tls.caller_key", "stands without its counterpart", allowed)
+        timing = settings.timing
+        if timing.backoff_first_ms > timing.backoff_max_ms:
+            allowed = f"1 to {timing.backoff_max_ms} ms (timing.backoff_max_ms)"
+            self._add("timing.backoff_first_ms", "is above the longest pause", allowed)
+
+    def _add(self, key: str, problem: str, allowed: str) -> None:
+        self.errors.append(SettingsError(key, problem, allowed))
+
+
+def parse_settings(text: str, folder: Path) -> Settings | SettingsErrors:
+    """Return the settings that `text` holds, or everything that is wrong with it.
+
+    Parameters
+    ----------
+    text : str
+        The TOML document.
+    folder : Path
+        Folder to which relative paths of files refer.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return SettingsErrors((SettingsError("(file)", str(error), "a TOML document"),))
+    reader = _Reader(_make_converter(folder))
+    settings = reader.read(document)
+    return settings if settings is not None else SettingsErrors(tuple(reader.errors))
+
+
+def load_settings(path: Path) -> Settings | SettingsErrors:
+    """Return the settings in the file `path`, or everything that is wrong with them."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else "is not UTF-8"
+        return SettingsErrors((SettingsError(str(path), str(reason), "a readable TOML file"),))
+    return parse_settings(text, path.parent)
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/settings_rules.py
@@ -0,0 +1,74 @@
+"""What each setting may hold, and the words for it in errors and in the reference."""
+
+import ipaddress
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+
+META_DOC = "doc"
+META_RULE = "rule"
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?")
+_MAX_PORT = 65_535
+_HOUR_MS = 3_600_000
+
+
+@attrs.frozen
+class Rule:
+    """A check of one value and the words for what it allows."""
+
+    allowed: str
+    is_allowed: Callable[[Any], bool]
+
+
+def _is_ip(value: str) -> bool:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_url(value: str) -> bool:
+    try:
+        parts = urlsplit(value)
+        return (
+            parts.scheme in ("http", "https") and _is_ip(parts.hostname or "") and parts.port != 0
+        )
+    except ValueError:
+        return False
+
+
+def _is_file(value: Path | None) -> bool:
+    return value is None or value.is_file()
+
+
+def one_of(values: tuple[str, ...]) -> Rule:
+    """Return the rule that allows just `values`."""
+    return Rule(" or ".join(f'"{value}"' for value in values), lambda value: value in values)
+
+
+def between(low: int, high: int, unit: str) -> Rule:
+    """Return the rule that allows whole numbers from `low` to `high`."""
+    return Rule(f"{low} to {high} {unit}".rstrip(), lambda value: low <= value <= high)
+
+
+NAME = Rule(
+    "1 to 63 of a-z, 0-9, '.', '_' and '-', a letter or digit first and last",
+    lambda value: _NAME.fullmatch(value) is not None,
+)
+IP_NUMBER = Rule("an IPv4 or IPv6 number", _is_ip)
+PORT = between(1, _MAX_PORT, "")
+URL_PATH = Rule("a path that starts with '/'", lambda value: value.startswith("/"))
+URL = Rule("an http or https URL whose host is an IP number", _is_url)
+FILE = Rule("the path of a readable file, absolute or relative to the settings file", _is_file)
+TIME = between(1, _HOUR_MS, "ms")
+
+
+def setting(doc: str, rule: Rule, default: Any = attrs.NOTHING) -> Any:
+    """Return an attrs field with its meaning and its rule."""
+    return attrs.field(default=default, metadata={META_DOC: doc, META_RULE: rule})
--- /dev/null
+++ b/tests/wisteriaproxy/test_settings.py
@@ -0,0 +1,119 @@
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wisteriaproxy.settings import Settings, SettingsErrors, load_settings, parse_settings
+from wisteriaproxy.settings_reference import render_reference
+
+ROOT = Path(__file__).parents[2]
+
+WHOLE = """
+[vm]
+id = "vm-1"
+service = "yield"
+failure_domain = "north"
+[listen]
+host = "127.0.0.1"
+caller_port = 8001
+peer_port = 8002
+operator_port = 8003
+[backend]
+port = 9000
+slots = 20
+[platform]
+config_url = "http://127.0.0.1:7000/v1/config"
+vms_url = "http://[::1]:7000/v1/vms"
+[tls]
+peer_certificate = "peer.pem"
+peer_key = "peer.key"
+peer_ca = "ca.pem"
+"""
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    for name in ("peer.pem", "peer.key", "ca.pem"):
+        (tmp_path / name).write_text("x")
+    return tmp_path
+
+
+def errors_of(text: str, folder: Path) -> dict[str, str]:
+    found = parse_settings(text, folder)
+    assert isinstance(found, SettingsErrors)
+    return {error.key: str(error) for error in found.errors}
+
+
+def test_whole_file_is_read_with_defaults(folder: Path) -> None:
+    path = folder / "daemon.toml"
+    path.write_text(WHOLE)
+    found = load_settings(path)
+    assert isinstance(found, Settings)
+    assert found.tls.peer_ca == folder / "ca.pem"
+    assert (found.log.format, found.backend.health_path) == ("logfmt", "/health")
+
+
+def test_every_error_is_named_at_once(folder: Path) -> None:
+    text = WHOLE.replace('"127.0.0.1"', '"localhost"').replace("8001", "true")
+    text = text.replace('"peer.key"', '"absent.key"').replace("slots = 20", "slot = 20")
+    errors = errors_of(text + '[log]\nformat = "xml"\n[extra]\n', folder)
+    assert list(errors) == [
+        "extra",
+        "listen.host",
+        "listen.caller_port",
+        "backend.slot",
+        "backend.slots",
+        "tls.peer_key",
+        "log.format",
+    ]
+    expected = 'log.format: \'xml\' is not allowed; allowed: "logfmt" or "json"'
+    assert errors["log.format"] == expected
+    assert errors["listen.caller_port"].startswith("listen.caller_port: True is not a whole number")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ("caller_port = 8001", "caller_port = 8002", "listen"),
+        ('peer_ca = "ca.pem"', 'peer_ca = "ca.pem"\ncaller_key = "peer.key"', "tls.caller_key"),
+        ("[tls]", "[timing]\nbackoff_first_ms = 20000\n[tls]", "timing.backoff_first_ms"),
+        ("http://127.0.0.1:7000", "http://platform:7000", "platform.config_url"),
+        ("http://127.0.0.1:7000", "http://127.0.0.1:70000", "platform.config_url"),
+        ("[vm]", "vm = 1\n[other]", "vm"),
+        ("[vm]", "[vm", "(file)"),
+    ],
+)
+def test_one_error_is_named(folder: Path, old: str, new: str, key: str) -> None:
+    assert key in errors_of(WHOLE.replace(old, new), folder)
+
+
+def test_unreadable_file_is_an_error(tmp_path: Path) -> None:
+    found = load_settings(tmp_path / "absent.toml")
+    assert isinstance(found, SettingsErrors)
+    assert "No such file" in str(found)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(
+    section=st.sampled_from(["vm", "listen", "backend", "platform", "tls", "log", "timing"]),
+    key=st.sampled_from(["id", "host", "port", "slots", "vms_url", "peer_ca", "level", "poll_ms"]),
+    value=st.one_of(
+        st.integers(), st.booleans(), st.text("abc/:[]0.", max_size=20), st.just([]), st.floats()
+    ),
+)
+def test_any_value_gives_settings_or_named_errors(section: str, key: str, value: object) -> None:
+    match value:
+        case bool():
+            text = str(value).lower()
+        case str():
+            text = f'"{value}"'
+        case _:
+            text = str(value)
+    found = parse_settings(f"[{section}]\n{key} = {text}\n", Path("/"))
+    assert isinstance(found, SettingsErrors)
+    assert all(error.key and error.problem and error.allowed for error in found.errors)
+
+
+def test_reference_is_current() -> None:
+    assert (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8") == render_reference()
