Add backend server choice, retry allowance and poison detection

Cause: the entry needs to choose servers, bound retries over a tree of calls and stop requests that crash backend servers. Ruled out: nothing measured yet.

--- a/libs/routing/src/wisteria_routing/__init__.py
+++ b/libs/routing/src/wisteria_routing/__init__.py
@@ -1,1 +1,34 @@
 """Backend server choice, retries and poison requests."""
+
+from .allowance import RetryAllowance
+from .budget import RetryBudget
+from .chooser import Chooser
+from .config import ChooserConfig, PoisonConfig, RetryConfig
+from .connections import ConnectionBudget
+from .const import MAX_CRASHES
+from .models import Attempt, CallOutcome, Candidate, GiveUp, HealthReport, Retry, ServerLoad
+from .poison import CrashReport, PoisonDetector, SuspicionCleared
+from .retries import decide_retry, merge_run_states
+
+__all__ = [
+    "MAX_CRASHES",
+    "Attempt",
+    "CallOutcome",
+    "Candidate",
+    "Chooser",
+    "ChooserConfig",
+    "ConnectionBudget",
+    "CrashReport",
+    "GiveUp",
+    "HealthReport",
+    "PoisonConfig",
+    "PoisonDetector",
+    "Retry",
+    "RetryAllowance",
+    "RetryBudget",
+    "RetryConfig",
+    "ServerLoad",
+    "SuspicionCleared",
+    "decide_retry",
+    "merge_run_states",
+]
--- /dev/null
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -0,0 +1,196 @@
+"""Choice of a backend server: least load of sampled candidates, ejection, probes."""
+
+from collections.abc import Iterable
+from random import Random
+
+import attrs
+
+from wisteria_core import FailureDomain, Refusal, ResultCode, VmId
+
+from .config import ChooserConfig
+from .models import CallOutcome, Candidate, HealthReport, ServerLoad
+from .servers import Server
+
+NO_SERVER_RETRY_AFTER_MS = 500
+FORGIVE_OUTCOMES = 100
+
+
+@attrs.define
+class Chooser:
+    """Chooses backend servers of one service for one daemon.
+
+    Parameters
+    ----------
+    failure_domain : FailureDomain
+        Failure domain of this daemon.
+    random : Random
+        Source of the sampling.
+    config : ChooserConfig
+        Parameters.
+    """
+
+    failure_domain: FailureDomain
+    random: Random
+    config: ChooserConfig = attrs.field(factory=ChooserConfig)
+    _servers: dict[VmId, Server] = attrs.field(init=False, factory=dict)
+    _seen_candidates: bool = attrs.field(init=False, default=False)
+
+    def update(self, now_ms: int, candidates: Iterable[Candidate]) -> None:
+        """Replace the candidates; evidence on those that stay is kept.
+
+        All servers of the first update count as warm, later ones start slowly.
+        """
+        warm_ms = now_ms if self._seen_candidates else now_ms - self.config.slow_start_ms
+        known = self._servers
+        self._servers = {}
+        for candidate in candidates:
+            server = known.get(candidate.vm_id) or Server(candidate, warm_ms)
+            server.candidate = candidate
+            self._servers[candidate.vm_id] = server
+            self._seen_candidates = True
+
+    def choose(self, now_ms: int, exclude: frozenset[VmId] = frozenset()) -> VmId | Refusal:
+        """Return the backend server for a call, or a refusal when there is none.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time.
+        exclude : frozenset of VmId
+            Backend servers that the call has tried.
+        """
+        open_servers = [
+            server
+            for server in self._usable(exclude)
+            if server.in_flight < self.config.max_in_flight
+        ]
+        probe = next((server for server in open_servers if server.wants_probe(now_ms)), None)
+        if probe is not None:
+            return probe.vm_id
+        healthy = [server for server in open_servers if server.ejected_until_ms is None]
+        chosen = self._choose_among(now_ms, healthy or open_servers)
+        if chosen is None:
+            return Refusal(
+                ResultCode.NO_BACKEND_SERVER,
+                "no backend server can take the call",
+                retry_after_ms=NO_SERVER_RETRY_AFTER_MS,
+            )
+        return chosen.vm_id
+
+    def count_usable(self, exclude: frozenset[VmId] = frozenset()) -> int:
+        """Return the number of backend servers that may be tried yet."""
+        return len(self._usable(exclude))
+
+    def note_sent(self, now_ms: int, vm_id: VmId) -> None:
+        """Count a call that is being sent."""
+        server = self._servers.get(vm_id)
+        if server is not None:
+            server.in_flight += 1
+
+    def note_answer(
+        self,
+        now_ms: int,
+        vm_id: VmId,
+        outcome: CallOutcome,
+        latency_ms: int,
+        load: ServerLoad | None = None,
+    ) -> None:
+        """Take in the end of a call that was counted by `note_sent`.
+
+        Parameters
+        ----------
+        now_ms : int
+            Present time.
+        vm_id : VmId
+            Backend server that was called.
+        outcome : CallOutcome
+            How the attempt ended.
+        latency_ms : int
+            Time since it was sent, in milliseconds.
+        load : ServerLoad, optional
+            Load that came with the answer.
+        """
+        server = self._servers.get(vm_id)
+        if server is None:
+            return
+        server.in_flight = max(0, server.in_flight - 1)
+        if load is not None:
+            server.note_load(now_ms, load)
+        server.note_outcome(outcome, latency_ms, self.config)
+        if server.ejected_until_ms is not None:
+            self._judge_probe(now_ms, server, outcome)
+        elif self._should_eject(server):
+            server.eject(now_ms, self.config)
+        elif server.outcomes > FORGIVE_OUTCOMES:
+            server.ejections = 0
+
+    def note_report(self, now_ms: int, vm_id: VmId, report: HealthReport) -> None:
+        """Take in a polled report on a backend server."""
+        server = self._servers.get(vm_id)
+        if server is not None:
+            server.note_report(now_ms, report)
+
+    def describe(self, now_ms: int) -> list[dict[str, object]]:
+        """Return the state of each backend server for the operators' port."""
+        return [
+            {
+                "vm": server.vm_id,
+                "usable": server.candidate.usable,
+                "ejected": server.ejected_until_ms is not None,
+                "in_flight": server.in_flight,
+                "load": round(server.load(now_ms, self.config), 3),
+                "error_rate": round(server.error_rate, 3),
+                "latency_ms": round(server.latency_ms, 1),
+            }
+            for server in self._servers.values()
+        ]
+
+    def _usable(self, exclude: frozenset[VmId]) -> list[Server]:
+        return [
+            server
+            for server in self._servers.values()
+            if server.candidate.usable and server.vm_id not in exclude
+        ]
+
+    def _choose_among(self, now_ms: int, servers: list[Server]) -> Server | None:
+        local = [s for s in servers if s.candidate.failure_domain == self.failure_domain]
+        best = self._best_of(now_ms, local)
+        if best is not None and best.load(now_ms, self.config) <= self.config.local_load:
+            return best
+        remote = [s for s in servers if s.candidate.failure_domain != self.failure_domain]
+        other = self._best_of(now_ms, remote)
+        if best is None or other is None:
+            return best or other
+        penalty = self.config.remote_penalty
+        return other if self._score(now_ms, other) * penalty < self._score(now_ms, best) else best
+
+    def _best_of(self, now_ms: int, servers: list[Server]) -> Server | None:
+        if len(servers) > self.config.samples:
+            servers = self.random.sample(servers, self.config.samples)
+        return min(servers, key=lambda server: self._score(now_ms, server), default=None)
+
+    def _score(self, now_ms: int, server: Server) -> float:
+        return server.score(now_ms, self._usual_latency_ms(), self.config)
+
+    def _usual_latency_ms(self) -> float:
+        known = sorted(s.latency_ms for s in self._servers.values() if s.latency_ms)
+        return known[len(known) // 2] if known else 0.0
+
+    def _should_eject(self, server: Server) -> bool:
+        config = self.config
+        if server.outcomes < config.eject_min_outcomes:
+            return False
+        others = [s for s in self._servers.values() if s is not server and s.candidate.usable]
+        ejected = sum(1 for s in others if s.ejected_until_ms is not None)
+        if ejected + 1 > max(1, int(config.eject_share * (len(others) + 1))) or not others:
+            return False
+        usual = sum(s.error_rate for s in others) / len(others)
+        return server.error_rate >= max(config.eject_error_rate, 2.0 * usual)
+
+    def _judge_probe(self, now_ms: int, server: Server, outcome: CallOutcome) -> None:
+        if server.ejected_until_ms is None or now_ms < server.ejected_until_ms:
+            return
+        if outcome is CallOutcome.SUCCESS:
+            server.restore(now_ms)
+        elif outcome is not CallOutcome.CANCELLED:
+            server.eject(now_ms, self.config)
--- /dev/null
+++ b/libs/routing/src/wisteria_routing/retries.py
@@ -0,0 +1,109 @@
+"""Decision whether a failed attempt is made again elsewhere or answered at once."""
+
+from random import Random
+
+import attrs
+
+from wisteria_core import Refusal, ResultCode, RunState
+
+from .allowance import RetryAllowance
+from .budget import RetryBudget
+from .config import RetryConfig
+from .models import Attempt, GiveUp, Retry
+
+_RETRIABLE = frozenset(
+    {
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.SHED,
+        ResultCode.NO_BACKEND_SERVER,
+        ResultCode.BACKEND_SERVER_FAILED,
+        ResultCode.BACKEND_SERVER_LEAVING,
+        ResultCode.LINK_LOST,
+        ResultCode.ANSWER_TRUNCATED,
+        ResultCode.ANSWER_STALLED,
+        ResultCode.NOT_READY,
+        ResultCode.STOPPING,
+        ResultCode.INTERNAL,
+    }
+)
+_WAITING_HELPS = _RETRIABLE | {ResultCode.RETRIES_EXHAUSTED}
+
+
+def merge_run_states(first: RunState, second: RunState) -> RunState:
+    """Return what is true of two attempts together: ran, else unknown, else not run."""
+    for state in (RunState.RAN, RunState.UNKNOWN):
+        if state in (first, second):
+            return state
+    return RunState.NOT_RUN
+
+
+def decide_retry(
+    now_ms: int,
+    attempt: Attempt,
+    allowance: RetryAllowance,
+    budget: RetryBudget,
+    random: Random,
+    config: RetryConfig | None = None,
+) -> Retry | GiveUp:
+    """Decide what follows a failed attempt.
+
+    A retry takes one from `allowance` and one from `budget`; giving up takes nothing.
+
+    Parameters
+    ----------
+    now_ms : int
+        Present time.
+    attempt : Attempt
+        The attempt that failed.
+    allowance : RetryAllowance
+        What is left for the request; the failed attempt must have been settled or written off.
+    budget : RetryBudget
+        Budget of the service that was called.
+    random : Random
+        Source of the jitter.
+    config : RetryConfig, optional
+        Parameters.
+
+    Returns
+    -------
+    Retry or GiveUp
+        The final refusal says of all attempts together whether the request ran.
+    """
+    config = config or RetryConfig()
+    if not _may_repeat(attempt):
+        return GiveUp(_final(attempt, attempt.failure.code, attempt.failure.reason, config))
+    delay_ms = _delay_ms(attempt.number, random, config)
+    if attempt.alternatives < 1 or now_ms + delay_ms >= attempt.deadline_at_ms:
+        return GiveUp(_final(attempt, attempt.failure.code, attempt.failure.reason, config))
+    if allowance.left < 1 or not budget.has_token():
+        reason = f"no retry is left after: {attempt.failure.reason}"
+        return GiveUp(_final(attempt, ResultCode.RETRIES_EXHAUSTED, reason, config))
+    allowance.spend()
+    budget.spend()
+    return Retry(delay_ms, attempt.tried)
+
+
+def _may_repeat(attempt: Attempt) -> bool:
+    if attempt.failure.code not in _RETRIABLE:
+        return False
+    state = merge_run_states(attempt.earlier, attempt.failure.run_state)
+    return attempt.repeatable or state is RunState.NOT_RUN
+
+
+def _delay_ms(number: int, random: Random, config: RetryConfig) -> int:
+    bound_ms = min(config.max_delay_ms, config.base_delay_ms << min(number - 1, 16))
+    return random.randint(0, bound_ms)
+
+
+def _final(attempt: Attempt, code: ResultCode, reason: str, config: RetryConfig) -> Refusal:
+    retry_after_ms = attempt.failure.retry_after_ms
+    if retry_after_ms is None and code in _WAITING_HELPS:
+        retry_after_ms = config.retry_after_ms
+    return attrs.evolve(
+        attempt.failure,
+        code=code,
+        reason=reason,
+        run_state=merge_run_states(attempt.earlier, attempt.failure.run_state),
+        retry_after_ms=retry_after_ms,
+    )
--- /dev/null
+++ b/libs/routing/src/wisteria_routing/servers.py
@@ -0,0 +1,139 @@
+"""What one daemon knows of one backend server: load, outcomes, ejection."""
+
+import attrs
+
+from wisteria_core import VmId
+
+from .config import ChooserConfig
+from .const import CAPACITY_UNKNOWN
+from .models import CallOutcome, Candidate, HealthReport, ServerLoad
+
+_ERROR_WEIGHT = {
+    CallOutcome.SUCCESS: 0.0,
+    CallOutcome.TIMEOUT: 0.5,
+    CallOutcome.ERROR: 1.0,
+    CallOutcome.LINK_LOST: 1.0,
+}
+NEUTRAL_LOAD = 0.5
+LATENCY_SMOOTHING = 0.1
+ERROR_PENALTY = 20.0
+MAX_LATENCY_FACTOR = 4.0
+MIN_START_PART = 0.1
+
+
+@attrs.define
+class Server:
+    """Evidence on one backend server.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        Its latest description.
+    started_ms : int
+        When it was added or returned from an ejection: start of its slow start.
+    """
+
+    candidate: Candidate
+    started_ms: int
+    in_flight: int = 0
+    error_rate: float = 0.0
+    latency_ms: float = 0.0
+    outcomes: int = 0
+    ejections: int = 0
+    ejected_until_ms: int | None = None
+    _load: ServerLoad | None = None
+    _load_heard_ms: int = 0
+    _report: HealthReport | None = None
+    _report_heard_ms: int = 0
+
+    @property
+    def vm_id(self) -> VmId:
+        """Name of the VM."""
+        return self.candidate.vm_id
+
+    def note_load(self, now_ms: int, load: ServerLoad) -> None:
+        """Take in a load carried on an answer."""
+        self._load = load
+        self._load_heard_ms = now_ms
+
+    def note_report(self, now_ms: int, report: HealthReport) -> None:
+        """Take in a polled report."""
+        self._report = report
+        self._report_heard_ms = now_ms - report.age_ms
+
+    def note_outcome(self, outcome: CallOutcome, latency_ms: int, config: ChooserConfig) -> None:
+        """Take in how an attempt ended; refusals and cancellations say nothing of health."""
+        weight = _ERROR_WEIGHT.get(outcome)
+        if weight is None:
+            return
+        self.outcomes += 1
+        self.error_rate += config.error_smoothing * (weight - self.error_rate)
+        if outcome in (CallOutcome.SUCCESS, CallOutcome.TIMEOUT):
+            gap_ms = latency_ms - self.latency_ms if self.latency_ms else latency_ms
+            self.latency_ms += gap_ms * (LATENCY_SMOOTHING if self.latency_ms else 1.0)
+
+    def capacity(self) -> int:
+        """Return the concurrency limit last heard."""
+        return max(1, self._load.limit) if self._load else CAPACITY_UNKNOWN
+
+    def load(self, now_ms: int, config: ChooserConfig) -> float:
+        """Return the load as a multiple of the capacity, with old evidence discounted.
+
+        Evidence fades towards a neutral load; the own calls in flight are always counted.
+        """
+        weights, total = 0.25, 0.25 * NEUTRAL_LOAD
+        if self._load is not None:
+            weight = _fade(now_ms - self._load_heard_ms, config.load_half_life_ms)
+            weights, total = weights + weight, total + weight * self._load.ratio()
+        if self._report is not None:
+            fade = _fade(now_ms - self._report_heard_ms, config.report_half_life_ms)
+            weight = config.report_weight * fade
+            claimed = self._report.load if self._report.healthy else 2.0
+            weights, total = weights + weight, total + weight * claimed
+        return max(total / weights, self.in_flight / self.capacity())
+
+    def score(self, now_ms: int, usual_latency_ms: float, config: ChooserConfig) -> float:
+        """Return the cost of sending one more call; the lowest is best."""
+        load = self.load(now_ms, config) + (self.in_flight + 1) / self.capacity()
+        if not self.candidate.connected:
+            load += config.connect_penalty
+        return (
+            load
+            * self._latency_factor(usual_latency_ms)
+            * (1.0 + ERROR_PENALTY * self.error_rate)
+            / self.start_part(now_ms, config)
+        )
+
+    def start_part(self, now_ms: int, config: ChooserConfig) -> float:
+        """Return the part of its full share that a starting backend server gets."""
+        part = (now_ms - self.started_ms) / max(1, config.slow_start_ms)
+        return min(1.0, max(MIN_START_PART, part))
+
+    def eject(self, now_ms: int, config: ChooserConfig) -> None:
+        """Keep the server out for a time that doubles with each ejection in a row."""
+        length_ms = min(config.eject_max_ms, config.eject_base_ms << min(self.ejections, 16))
+        self.ejections += 1
+        self.ejected_until_ms = now_ms + length_ms
+        self.outcomes = 0
+
+    def restore(self, now_ms: int) -> None:
+        """Take an ejected server back after a successful probe, with a slow start."""
+        self.ejected_until_ms = None
+        self.error_rate = 0.0
+        self.outcomes = 0
+        self.started_ms = now_ms
+
+    def wants_probe(self, now_ms: int) -> bool:
+        """Return whether an ejected server may get its one probe call."""
+        until_ms = self.ejected_until_ms
+        return until_ms is not None and now_ms >= until_ms and self.in_flight == 0
+
+    def _latency_factor(self, usual_latency_ms: float) -> float:
+        if not self.latency_ms or not usual_latency_ms:
+            return 1.0
+        return min(MAX_LATENCY_FACTOR, max(0.5, self.latency_ms / usual_latency_ms))
+
+
+def _fade(age_ms: int, half_life_ms: int) -> float:
+    """Return the weight left after `age_ms`."""
+    return float(0.5 ** (max(0, age_ms) / half_life_ms))
