Add wisteriactl: config check and diff, status, audit

Cause: operators need the daemon's own validator, the words of a change before it takes effect, and a look into a running daemon. Ruled out: exit status 0 for a diff whose new document would be ignored (lower version) or refused (same version, other content): it ends with 1. Found on the way: rich measures tables by the width of the terminal, so a piped table folded its cells; piped output is now as wide as its content. Answers of a daemon are shown without control characters or markup. Before: no command line. Conclusion: ready for the daemon's operators' port.

--- a/libs/config/src/wisteria_config/__init__.py
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -1,6 +1,7 @@
 """The configuration document: model, validation, differences, dissemination."""
 
 from .canonical import canonical_bytes, document_digest
+from .changes import describe_changes
 from .const import MAX_DOCUMENT_BYTES, PUBLIC_ACCOUNT
 from .models import (
     Account,
@@ -30,6 +31,7 @@
     "VersionStamp",
     "canonical_bytes",
     "compare_versions",
+    "describe_changes",
     "document_digest",
     "validate_document",
 ]
--- /dev/null
+++ b/libs/ctl/src/wisteriactl/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command-line tool as a module."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/libs/ctl/src/wisteriactl/cli.py
@@ -0,0 +1,23 @@
+"""The application and its entry point."""
+
+import typer
+
+from . import config, daemon
+from .const import EXIT_STATUS_HELP
+
+app = typer.Typer(
+    name="wisteriactl",
+    help="Check configuration documents and look into running daemons.",
+    epilog=EXIT_STATUS_HELP,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    add_completion=False,
+)
+app.add_typer(config.app, name="config")
+app.command("status", epilog=EXIT_STATUS_HELP)(daemon.status)
+app.command("audit", epilog=EXIT_STATUS_HELP)(daemon.audit)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/libs/ctl/src/wisteriactl/daemon.py
@@ -0,0 +1,57 @@
+"""The commands that ask a running daemon over its operators' port."""
+
+from typing import Annotated, Any
+
+import typer
+
+from .client import fetch_object
+from .output import JSON_OPTION, fail, print_json, print_objects, print_table
+
+Address = typer.Argument(help="HOST:PORT of the daemon's operators' port.", show_default=False)
+
+_STATUS_LISTS = ("peers", "slots", "limits")
+_AUDIT_COLUMNS = ("at", "kind", "from_version", "to_version", "outcome", "reason")
+
+
+def status(address: Annotated[str, Address], as_json: Annotated[bool, JSON_OPTION] = False) -> None:
+    """Show the version in force and its age, readiness, peers, slots, limits and queues.
+
+    Example: wisteriactl status 127.0.0.1:9090
+    """
+    answer = fetch_object(address, "/status")
+    if as_json:
+        print_json(answer)
+        return
+    plain = [(name, value) for name, value in answer.items() if not _is_nested(value)]
+    print_table(f"daemon at {address}", ("field", "value"), plain)
+    for name in _STATUS_LISTS:
+        print_objects(name, _objects(answer, name))
+    queues = answer.get("queues")
+    if isinstance(queues, dict):
+        print_table("queues", ("queue", "value"), list(queues.items()))
+
+
+def audit(address: Annotated[str, Address], as_json: Annotated[bool, JSON_OPTION] = False) -> None:
+    """Show the trail of changes: what, when (UTC), from and to version, outcome and why.
+
+    Example: wisteriactl audit 127.0.0.1:9090
+    """
+    answer = fetch_object(address, "/audit")
+    if as_json:
+        print_json(answer)
+        return
+    if "entries" not in answer:
+        fail(f"the answer of {address} holds no audit entries; is this an operators' port?")
+    rows = [[entry.get(name) for name in _AUDIT_COLUMNS] for entry in _objects(answer, "entries")]
+    print_table(f"audit trail of {address}", _AUDIT_COLUMNS, rows)
+
+
+def _is_nested(value: object) -> bool:
+    return isinstance(value, dict | list)
+
+
+def _objects(answer: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    items = answer.get(name, [])
+    if not isinstance(items, list):
+        return []
+    return [item for item in items if isinstance(item, dict)]
