Add the slot ownership state machine, thin

Cause: the daemon, the limits and the ledger need the interface of slot ownership. Ruled out: a grant memory alone (a restarted process has none), taking over after a time-out. Before: no ownership. Conclusion: the interface can be called; the invariant is not yet checked by a state machine.

--- /dev/null
+++ b/libs/ownership/src/wisteria_ownership/claims.py
@@ -0,0 +1,235 @@
+"""Claims: asking every VM of the scope, answering those who ask, and waiting leases out."""
+
+import attrs
+
+from wisteria_core import VmId
+
+from .const import FIRST_TERM
+from .messages import (
+    Claim,
+    ClaimAnswer,
+    ClaimItem,
+    ClaimOutcome,
+    ClaimReply,
+    SlotGrant,
+)
+from .models import (
+    AuditEvent,
+    Claiming,
+    Free,
+    Grant,
+    HolderHint,
+    Holding,
+    SlotRecord,
+    Transferring,
+    Waiting,
+)
+from .node import Node
+from .roster import outranks
+
+
+@attrs.define(eq=False)
+class Claims:
+    """Both sides of the claim exchange."""
+
+    node: Node
+
+    # --- the claimant
+
+    def is_eligible(self, record: SlotRecord) -> bool:
+        """Return whether this VM should seek the slot."""
+        node = self.node
+        return (
+            record.slot in node.wanted
+            and not node.is_departing
+            and node.is_ready(record.slot.scope)
+            and node.roster.first(record.slot) == node.vm_id
+        )
+
+    def start(self, record: SlotRecord) -> None:
+        """Begin a claim with a new id."""
+        node = self.node
+        node.prune_grants(record)
+        record.phase = Claiming(
+            claim_id=node.next_claim_id(),
+            pending=node.others(record.slot.scope) | record.granted.keys(),
+            due_ms=node.now_ms,
+            backoff_ms=node.config.resend_ms,
+        )
+        node.attention[record.slot] = None
+        node.audit(AuditEvent.CLAIM_STARTED, record.slot, f"ask={len(record.phase.pending)}")
+
+    def drive(self, record: SlotRecord, phase: Claiming) -> None:
+        """Complete a cleared claim, or ask again those who have not answered."""
+        node = self.node
+        if not self.is_eligible(record):
+            node.cancel_claim(record)
+            return
+        if not phase.pending and node.is_up_to_date():
+            self._complete(record, phase)
+            return
+        if node.now_ms < phase.due_ms:
+            return
+        node.queue_claim(phase.pending, ClaimItem(record.slot, phase.claim_id))
+        phase.due_ms = node.now_ms + phase.backoff_ms
+        phase.backoff_ms = node.grow(phase.backoff_ms)
+
+    def drive_wait(self, record: SlotRecord, phase: Waiting) -> None:
+        """Take the slot once every lease of an earlier holder has run out."""
+        node = self.node
+        if node.is_departing or record.slot not in node.wanted:
+            record.phase = Free()
+        elif node.now_ms >= phase.until_ms and node.is_up_to_date():
+            node.hold(record, phase.claim_id, phase.term, None)
+
+    def _complete(self, record: SlotRecord, phase: Claiming) -> None:
+        node = self.node
+        term = max(record.term + 1, FIRST_TERM)
+        record.granted.clear()
+        wait_ms = self.wait_out_ms()
+        record.phase = Waiting(phase.claim_id, node.now_ms + wait_ms, term)
+        node.audit(AuditEvent.CLAIM_CLEARED, record.slot, f"wait_ms={wait_ms}")
+
+    def wait_out_ms(self) -> int:
+        """Return the time between a cleared claim and the first decision."""
+        return self.node.config.wait_out_ms
+
+    def take_reply(self, sender: VmId, reply: ClaimReply) -> None:
+        """Note each answer to a claim that is still open."""
+        for answer in reply.answers:
+            record = self.node.record(answer.slot)
+            phase = record.phase
+            if isinstance(phase, Claiming) and phase.claim_id == answer.claim_id:
+                self._take_answer(sender, record, phase, answer)
+
+    def _take_answer(
+        self, sender: VmId, record: SlotRecord, phase: Claiming, answer: ClaimAnswer
+    ) -> None:
+        node = self.node
+        record.term = max(record.term, answer.term)
+        match answer.outcome:
+            case ClaimOutcome.GRANTED:
+                phase.pending.discard(sender)
+                phase.cleared.add(sender)
+                record.granted.pop(sender, None)
+                for grant in answer.grants:
+                    self.learn_grant(record, grant)
+                self.drive(record, phase)
+            case ClaimOutcome.HOLDING:
+                record.hint = HolderHint(sender, node.now_ms + node.config.recheck_ms)
+                node.cancel_claim(record)
+            case ClaimOutcome.WAIT:
+                pass
+
+    def learn_grant(self, record: SlotRecord, reported: SlotGrant) -> None:
+        """Remember a grantee that another VM reported, and clear with it as well."""
+        node = self.node
+        grant = Grant(reported.incarnation, reported.claim_id, reported.list_version)
+        if reported.vm_id == node.vm_id or node.is_over(reported.vm_id, grant):
+            return
+        match record.phase:
+            case Claiming(cleared=cleared) if reported.vm_id in cleared:
+                return
+            case Claiming(pending=pending):
+                pending.add(reported.vm_id)
+            case Free():
+                pass
+            case _:
+                return
+        known = record.granted.get(reported.vm_id)
+        if known is None or known.claim_id < grant.claim_id:
+            record.granted[reported.vm_id] = grant
+
+    # --- changes that an open claim must follow
+
+    def follow_list(self, record: SlotRecord, joined: frozenset[VmId]) -> None:
+        """Ask VMs that are new to the list, and drop those that are gone."""
+        node = self.node
+        node.prune_grants(record)
+        if record.hint is not None and record.hint.vm_id not in node.roster.vms:
+            record.hint = None
+        others = node.others(record.slot.scope)
+        match record.phase:
+            case Claiming() as phase:
+                if phase.pending - others - record.granted.keys():
+                    self.start(record)
+                    return
+                phase.pending |= others - phase.cleared
+            case Waiting(claim_id=claim_id) if joined & others:
+                record.phase = Claiming(
+                    claim_id=claim_id,
+                    pending=set(joined & others),
+                    due_ms=node.now_ms,
+                    backoff_ms=node.config.resend_ms,
+                    cleared=set(others - joined),
+                )
+
+    def follow_incarnation(self, record: SlotRecord, vm_id: VmId) -> None:
+        """Clear anew with a VM whose process has restarted."""
+        phase = record.phase
+        if not isinstance(phase, Claiming):
+            return
+        if vm_id in phase.cleared or vm_id in self.node.others(record.slot.scope):
+            phase.cleared.discard(vm_id)
+            phase.pending.add(vm_id)
+
+    def follow_farewell(self, record: SlotRecord, vm_id: VmId) -> None:
+        """Count a process that has ended as cleared."""
+        record.granted.pop(vm_id, None)
+        if record.hint is not None and record.hint.vm_id == vm_id:
+            record.hint = None
+        if isinstance(record.phase, Claiming):
+            record.phase.pending.discard(vm_id)
+
+    # --- the one who is asked
+
+    def answer(self, sender: VmId, incarnation: int, claim: Claim) -> ClaimReply:
+        """Answer each slot of a claim."""
+        answers = tuple(self._answer_item(sender, incarnation, claim, item) for item in claim.items)
+        return ClaimReply(incarnation, self.node.roster.version, answers)
+
+    def _answer_item(
+        self, sender: VmId, incarnation: int, claim: Claim, item: ClaimItem
+    ) -> ClaimAnswer:
+        record = self.node.record(item.slot)
+        outcome = self.decide(sender, incarnation, record, item)
+        grants: tuple[SlotGrant, ...] = ()
+        if outcome is ClaimOutcome.GRANTED:
+            record.granted.pop(sender, None)
+            grants = self.node.grants_unknown_to(record, claim.list_version)
+            self._grant(sender, incarnation, claim, item, record)
+        return ClaimAnswer(item.slot, item.claim_id, outcome, record.term, grants)
+
+    def decide(
+        self, sender: VmId, incarnation: int, record: SlotRecord, item: ClaimItem
+    ) -> ClaimOutcome:
+        """Return the outcome for one slot without changing anything."""
+        known = record.granted.get(sender)
+        if known is not None and (known.incarnation, known.claim_id) > (
+            incarnation,
+            item.claim_id,
+        ):
+            return ClaimOutcome.WAIT
+        match record.phase:
+            case Holding() | Waiting() | Transferring():
+                return ClaimOutcome.HOLDING
+            case Claiming() if outranks(record.slot, self.node.vm_id, sender):
+                return ClaimOutcome.WAIT
+            case _ if not self.node.is_ready(record.slot.scope):
+                return ClaimOutcome.WAIT
+            case _:
+                return ClaimOutcome.GRANTED
+
+    def _grant(
+        self,
+        sender: VmId,
+        incarnation: int,
+        claim: Claim,
+        item: ClaimItem,
+        record: SlotRecord,
+    ) -> None:
+        if isinstance(record.phase, Claiming):
+            self.node.cancel_claim(record)
+            self.node.audit(AuditEvent.CLAIM_YIELDED, record.slot, f"to={sender}")
+        record.granted[sender] = Grant(incarnation, item.claim_id, claim.list_version)
+        record.expected = None
--- /dev/null
+++ b/libs/ownership/src/wisteria_ownership/recovery.py
@@ -0,0 +1,200 @@
+"""What a process must hear before it takes part: hellos, incarnations, gaps, farewells."""
+
+import attrs
+
+from wisteria_core import VmId
+
+from .claims import Claims
+from .messages import ActiveSlot, Farewell, Hello, HelloReply, SlotId
+from .models import (
+    AuditEvent,
+    Claiming,
+    Grant,
+    HolderHint,
+    Holding,
+    ReleaseReason,
+    SlotRecord,
+    Transferring,
+    Waiting,
+)
+from .node import Node
+from .transfers import Transfers
+
+
+@attrs.define(eq=False)
+class Recovery:
+    """Restores after a start or a gap what the rules of the protocol rely on."""
+
+    node: Node
+    claims: Claims
+    transfers: Transfers
+
+    # --- hearing from the scope
+
+    def drive(self) -> None:
+        """Greet VMs not heard yet, and note scopes that have been heard in full."""
+        node = self.node
+        if node.is_dismissed or node.has_ended or node.fenced_at_ms is not None:
+            return
+        unheard: set[VmId] = set()
+        for scope in sorted(node.scopes, key=str):
+            missing = {vm for vm in node.others(scope) if not node.peers[vm].heard}
+            unheard |= missing
+            if scope not in node.recovered and not missing and node.is_up_to_date():
+                node.recovered.add(scope)
+                node.audit(AuditEvent.SCOPE_HEARD, None, f"scope={scope.name}")
+        for vm_id in sorted(unheard):
+            self._greet(vm_id)
+
+    def _greet(self, vm_id: VmId) -> None:
+        node = self.node
+        peer = node.peers[vm_id]
+        if node.now_ms < peer.hello_due_ms:
+            return
+        node.send(vm_id, Hello(node.next_serial(), node.roster.version))
+        peer.hello_backoff_ms = node.grow(peer.hello_backoff_ms or node.config.resend_ms // 2)
+        peer.hello_due_ms = node.now_ms + peer.hello_backoff_ms
+
+    def check_hint(self, record: SlotRecord, hint: HolderHint) -> None:
+        """Ask the VM that was last heard to hold the slot whether it still does."""
+        node = self.node
+        if node.now_ms < hint.check_ms:
+            return
+        hint.check_ms = node.now_ms + node.config.recheck_ms
+        node.peers[hint.vm_id].heard = False
+
+    def answer_hello(self, sender: VmId, incarnation: int, hello: Hello) -> HelloReply:
+        """Tell a peer what this process claims and holds in the scopes of both."""
+        node = self.node
+        shared = [slot for slot in node.attention if self._shares(sender, slot)]
+        records = [node.records[slot] for slot in shared if slot in node.records]
+        active = tuple(_describe(record) for record in records if record.is_active)
+        grants = tuple(
+            grant
+            for record in node.records.values()
+            if record.granted and self._shares(sender, record.slot)
+            for grant in node.grants_unknown_to(record, hello.list_version)
+        )
+        return HelloReply(
+            recipient_incarnation=incarnation,
+            hello_id=hello.hello_id,
+            list_version=node.roster.version,
+            claim_count=node.claim_count,
+            active=active,
+            grants=grants,
+        )
+
+    def _shares(self, vm_id: VmId, slot: SlotId) -> bool:
+        vm = self.node.roster.vms.get(vm_id)
+        return vm is None or slot.scope.includes(vm)
+
+    def take_hello_reply(self, sender: VmId, incarnation: int, reply: HelloReply) -> None:
+        """Remember what the peer claims and holds, and forget what has lapsed."""
+        node = self.node
+        peer = node.peers[sender]
+        peer.heard = True
+        peer.hello_due_ms = 0
+        peer.hello_backoff_ms = 0
+        active = {item.slot: item for item in reply.active}
+        for item in reply.active:
+            self._take_active(sender, incarnation, reply, item)
+        for record in node.records.values():
+            if record.slot not in active:
+                self._forget(sender, incarnation, record, reply)
+        for grant in reply.grants:
+            self.claims.learn_grant(node.record(grant.slot), grant)
+
+    def _take_active(
+        self, sender: VmId, incarnation: int, reply: HelloReply, item: ActiveSlot
+    ) -> None:
+        node = self.node
+        record = node.record(item.slot)
+        record.term = max(record.term, item.term)
+        if item.holds:
+            record.hint = HolderHint(sender, node.now_ms + node.config.recheck_ms)
+        if isinstance(record.phase, Holding) and item.holds and item.term >= record.term:
+            node.audit(AuditEvent.CONFLICT, record.slot, f"also={sender}")
+            node.release(record, ReleaseReason.CONFLICT)
+        if isinstance(record.phase, Holding | Waiting | Transferring):
+            return
+        known = record.granted.get(sender)
+        if known is None or known.claim_id <= item.claim_id:
+            record.granted[sender] = Grant(incarnation, item.claim_id, reply.list_version)
+        if isinstance(record.phase, Claiming) and sender not in record.phase.cleared:
+            record.phase.pending.add(sender)
+
+    def _forget(
+        self, sender: VmId, incarnation: int, record: SlotRecord, reply: HelloReply
+    ) -> None:
+        if record.hint is not None and record.hint.vm_id == sender:
+            record.hint = None
+        known = record.granted.get(sender)
+        if known is None:
+            return
+        if known.incarnation < incarnation or known.claim_id <= reply.claim_count:
+            del record.granted[sender]
+
+    # --- incarnations and farewells
+
+    def note_incarnation(self, vm_id: VmId, incarnation: int) -> bool:
+        """Take in the incarnation of a peer; return whether it is the newest known."""
+        node = self.node
+        peer = node.peers[vm_id]
+        if incarnation <= peer.incarnation:
+            return incarnation == peer.incarnation
+        is_restart = peer.incarnation >= 0
+        peer.incarnation = incarnation
+        if not is_restart:
+            return True
+        if any(scope not in node.recovered for scope in node.scopes):
+            peer.heard = False
+        for record in node.records.values():
+            self.claims.follow_incarnation(record, vm_id)
+            self.transfers.follow_incarnation(record, vm_id, incarnation)
+            if record.hint is not None and record.hint.vm_id == vm_id:
+                record.hint = None
+        return True
+
+    def take_farewell(self, sender: VmId, incarnation: int, farewell: Farewell) -> None:
+        """Note that a process has ended, and whom it handed slots to."""
+        self.node.peers[sender].farewell = incarnation
+        for grant in farewell.grants:
+            self.claims.learn_grant(self.node.record(grant.slot), grant)
+        for record in self.node.records.values():
+            self.claims.follow_farewell(record, sender)
+
+    def make_farewell(self) -> Farewell:
+        """Return the last message of this process."""
+        node = self.node
+        grants = tuple(
+            grant
+            for record in node.records.values()
+            for grant in node.grants_unknown_to(record, node.roster.version)
+        )
+        return Farewell(node.roster.version, grants)
+
+    # --- gaps
+
+    def has_gap(self, now_ms: int) -> bool:
+        """Return whether the event loop stood still for longer than the fence allows."""
+        elapsed_ms = now_ms - self.node.last_progress_ms
+        return elapsed_ms < 0 or elapsed_ms > self.node.config.fence_ms
+
+    def drop_all(self, reason: ReleaseReason) -> None:
+        """Give up every slot and all that was agreed; what was granted stays granted."""
+        node = self.node
+        for record in node.records.values():
+            record.expected = None
+            record.hint = None
+            if isinstance(record.phase, Transferring):
+                node.leave_transfer(record, AuditEvent.HAND_OVER_UNRESOLVED, 0)
+            node.release(record, reason)
+        node.recovered.clear()
+        for peer in node.peers.values():
+            peer.heard = False
+            peer.hello_due_ms = 0
+
+
+def _describe(record: SlotRecord) -> ActiveSlot:
+    holds = record.is_active and not isinstance(record.phase, Claiming)
+    return ActiveSlot(record.slot, record.claim_id, record.term, holds)
--- /dev/null
+++ b/libs/ownership/src/wisteria_ownership/roster.py
@@ -0,0 +1,96 @@
+"""The VMs of each scope by the daemon's own list, and who ranks first for a slot."""
+
+import attrs
+
+from wisteria_core import Vm, VmId, VmList, VmState, rendezvous_weight
+
+from .const import NO_VERSION
+from .messages import Scope, SlotId
+
+
+def outranks(slot: SlotId, one: VmId, other: VmId) -> bool:
+    """Return whether `one` ranks before `other` for `slot`, alike on every daemon."""
+    return _sort_key(slot, one) < _sort_key(slot, other)
+
+
+def _sort_key(slot: SlotId, vm_id: VmId) -> tuple[int, str]:
+    return (-rendezvous_weight(slot.key, vm_id), vm_id)
+
+
+@attrs.frozen
+class RosterChange:
+    """What a newer list changed."""
+
+    joined: frozenset[VmId] = frozenset()
+    gone: frozenset[VmId] = frozenset()
+    altered: frozenset[VmId] = frozenset()
+
+
+@attrs.define
+class Roster:
+    """The newest list that the daemon has read, indexed by scope."""
+
+    version: int = NO_VERSION
+    vms: dict[VmId, Vm] = attrs.field(factory=dict)
+    _members: dict[Scope, frozenset[VmId]] = attrs.field(factory=dict)
+    _first: dict[SlotId, VmId | None] = attrs.field(factory=dict)
+
+    def update(self, vm_list: VmList) -> RosterChange:
+        """Take in a newer list and return the difference."""
+        before = self.vms
+        self.vms = {vm.vm_id: vm for vm in vm_list}
+        self.version = vm_list.version
+        self._members.clear()
+        change = RosterChange(
+            joined=frozenset(self.vms.keys() - before.keys()),
+            gone=frozenset(before.keys() - self.vms.keys()),
+            altered=frozenset(
+                vm_id for vm_id, vm in self.vms.items() if before.get(vm_id, vm) != vm
+            ),
+        )
+        self._update_first(change)
+        return change
+
+    def members(self, scope: Scope) -> frozenset[VmId]:
+        """Return live and leaving VMs of the scope."""
+        found = self._members.get(scope)
+        if found is None:
+            found = frozenset(vm.vm_id for vm in self.vms.values() if scope.includes(vm))
+            self._members[scope] = found
+        return found
+
+    def is_live(self, vm_id: VmId) -> bool:
+        """Return whether the list names the VM as live."""
+        vm = self.vms.get(vm_id)
+        return vm is not None and vm.state is VmState.LIVE
+
+    def is_gone(self, vm_id: VmId, named_in: int) -> bool:
+        """Return whether a VM that version `named_in` names has since been removed."""
+        return self.version >= named_in and vm_id not in self.vms
+
+    def first(self, slot: SlotId) -> VmId | None:
+        """Return the live VM that ranks first for the slot, or None when there is none."""
+        if slot not in self._first:
+            self._first[slot] = self._find_first(slot)
+        return self._first[slot]
+
+    def ranked(self, slot: SlotId) -> list[VmId]:
+        """Return the live VMs of the slot's scope, best first."""
+        live = (vm_id for vm_id in self.members(slot.scope) if self.is_live(vm_id))
+        return sorted(live, key=lambda vm_id: _sort_key(slot, vm_id))
+
+    def _find_first(self, slot: SlotId) -> VmId | None:
+        live = (vm_id for vm_id in self.members(slot.scope) if self.is_live(vm_id))
+        return min(live, key=lambda vm_id: _sort_key(slot, vm_id), default=None)
+
+    def _update_first(self, change: RosterChange) -> None:
+        """Mend the cached ranks: only a change of the first VM costs a whole ranking."""
+        touched = change.joined | change.altered
+        for slot, first in list(self._first.items()):
+            if first is None or not self.is_live(first):
+                del self._first[slot]
+                continue
+            for vm_id in touched:
+                if slot.scope.includes(self.vms[vm_id]) and self.is_live(vm_id):
+                    first = first if outranks(slot, first, vm_id) else vm_id
+            self._first[slot] = first
