--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/headers.py
@@ -0,0 +1,75 @@
+"""Header names on the call path, and which headers may pass."""
+
+from wisteria_core import RunState
+
+# of callers
+HEADER_AUTHORIZATION = "authorization"
+HEADER_IDEMPOTENCY_KEY = "idempotency-key"
+HEADER_DEADLINE_MS = "wisteria-deadline-ms"
+HEADER_REQUEST_ID = "wisteria-request-id"
+
+# of backend servers; a child call carries the token back
+HEADER_CALL_TOKEN = "wisteria-call"
+HEADER_ACCOUNT = "wisteria-account"
+HEADER_PRIORITY = "wisteria-priority"
+
+# of answers
+HEADER_RESULT = "wisteria-result"
+HEADER_RUN_STATE = "wisteria-run"
+HEADER_RETRY_AFTER = "retry-after"
+HEADER_RETRIES = "wisteria-retries"
+
+OWN_PREFIX = "wisteria-"
+BEARER_PREFIX = "bearer "
+
+RUN_STATE_TEXTS = {
+    RunState.RAN: "ran",
+    RunState.NOT_RUN: "not-run",
+    RunState.UNKNOWN: "unknown",
+}
+
+_DROPPED_REQUEST_HEADERS = frozenset(
+    {
+        HEADER_AUTHORIZATION,
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def filter_request_headers(headers: tuple[tuple[str, str], ...]) -> tuple[str, ...]:
+    """Return the headers that go on to a backend server, names and values in turn.
+
+    Dropped are the key, hop-by-hop headers and every header that only a daemon may set.
+    """
+    kept: list[str] = []
+    for name, value in headers:
+        if name in _DROPPED_REQUEST_HEADERS or name.startswith(OWN_PREFIX):
+            continue
+        kept += (name, value)
+    return tuple(kept)
+
+
+def filter_answer_headers(headers: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the headers of a backend server's answer without those that a daemon sets."""
+    kept: list[str] = []
+    pairs = iter(headers)
+    for name, value in zip(pairs, pairs, strict=True):
+        if not name.startswith(OWN_PREFIX):
+            kept += (name, value)
+    return tuple(kept)
+
+
+def find_header(headers: tuple[str, ...], name: str) -> str | None:
+    """Return the value of a lower-case name in headers given as names and values in turn."""
+    pairs = iter(headers)
+    return next((value for key, value in zip(pairs, pairs, strict=True) if key == name), None)
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -0,0 +1,322 @@
+"""The serving side: admits a call, runs it on the backend server, sends the answer back."""
+
+import enum
+import logging
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from wisteria_admission import (
+    Action,
+    AdmissionGate,
+    ChainLevels,
+    Dispatch,
+    Outcome,
+    Queued,
+    Refuse,
+    Ticket,
+)
+from wisteria_config import Document
+from wisteria_core import Clock, Refusal, ResultCode, RunState
+from wisteria_wire import INLINE_BODY_BYTES, AnswerHead, CallHead, HttpCall
+
+from .answers import refusal_to_head
+from .backend import BackendServer
+from .calls import CallRegistry, RunningCall
+from .headers import filter_answer_headers
+from .responders import Responder
+
+_LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_REJECTED_STATUSES = frozenset({429, 503})
+_FIRST_ERROR_STATUS = 500
+CONF_TICK_MS = 20
+
+WITHDRAWN = Refusal(ResultCode.KEY_WITHDRAWN, "the key has been withdrawn")
+
+
+class _Phase(enum.Enum):
+    """How far a served call has come."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    ANSWERED = "answered"
+
+
+@attrs.define(eq=False)
+class _Served:
+    """One call on its way through the serving side."""
+
+    head: CallHead
+    responder: Responder
+    scope: anyio.CancelScope
+    deadline_at_ms: int
+    phase: _Phase = _Phase.WAITING
+    outcome: Outcome = Outcome.CANCELLED
+    sent_at_ms: int = 0
+    verdict: Refusal | None = None
+    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    ended_by: Refusal | None = None
+
+
+@attrs.define(eq=False)
+class ServingPort:
+    """Serves the calls that entry daemons send to this VM's backend server.
+
+    Parameters
+    ----------
+    read_document : callable
+        Returns the configuration in force, or None before the first one.
+    """
+
+    gate: AdmissionGate
+    backend: BackendServer
+    registry: CallRegistry
+    levels: ChainLevels
+    clock: Clock
+    vm_id: str
+    read_document: Callable[[], Document | None]
+    is_stopping: bool = False
+    _calls: dict[int, _Served] = attrs.field(factory=dict)
+    _next_id: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that are queued or running."""
+        return len(self._calls)
+
+    async def serve(self, responder: Responder, head: CallHead) -> None:
+        """Serve one call to its end; every outcome is sent to `responder`."""
+        now_ms = self.clock.now_ms()
+        scope = anyio.CancelScope(deadline=anyio.current_time() + head.remaining_ms / _MS_PER_S)
+        served = _Served(head, responder, scope, now_ms + head.remaining_ms)
+        responder.on_cancel = scope.cancel
+        if responder.is_cancelled:
+            return
+        call_id = self._next_id
+        self._next_id += 1
+        self._calls[call_id] = served
+        try:
+            with scope:
+                await self._serve_within(call_id, served)
+        finally:
+            del self._calls[call_id]
+            self._leave_gate(call_id, served)
+        if scope.cancelled_caught and not responder.is_cancelled:
+            self._end_early(served)
+
+    async def run_ticks(self) -> None:
+        """Let the gate refuse late work; runs until cancelled."""
+        while True:
+            await anyio.sleep(CONF_TICK_MS / _MS_PER_S)
+            self._apply(self.gate.tick(self.clock.now_ms()))
+
+    def end_withdrawn(self, document: Document) -> int:
+        """End the calls whose key no longer stands and return how many there were."""
+        ended = 0
+        for served in list(self._calls.values()):
+            if not self._is_withdrawn(document, served.head):
+                continue
+            served.ended_by = WITHDRAWN
+            served.scope.cancel()
+            ended += 1
+        return ended
+
+    def begin_stop(self) -> None:
+        """Refuse new and queued work from now on; running calls go on."""
+        self.is_stopping = True
+        self._apply(self.gate.drain(self.clock.now_ms()))
+
+    def cancel_all(self) -> int:
+        """End every call at once and return how many there were."""
+        for served in self._calls.values():
+            served.scope.cancel()
+        return len(self._calls)
+
+    async def _serve_within(self, call_id: int, served: _Served) -> None:
+        refusal = self._check(served.head) or await self._admit(call_id, served)
+        if refusal is None:
+            # a key may have been withdrawn while the call was queued
+            refusal = self._check_key(served.head)
+        if refusal is not None:
+            served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, ()))
+            return
+        call = self.registry.add(served.head, served.deadline_at_ms)
+        try:
+            await self._run(served, call)
+        finally:
+            self.registry.remove(call)
+
+    def _check(self, head: CallHead) -> Refusal | None:
+        if self.is_stopping:
+            return Refusal(
+                ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
+            )
+        return self._check_key(head)
+
+    def _check_key(self, head: CallHead) -> Refusal | None:
+        document = self.read_document()
+        if document is None:
+            return Refusal(ResultCode.NOT_READY, "no configuration is in force yet")
+        return WITHDRAWN if self._is_withdrawn(document, head) else None
+
+    @staticmethod
+    def _is_withdrawn(document: Document, head: CallHead) -> bool:
+        """Return whether a newer or equal configuration no longer holds the key."""
+        if not head.key_id or document.version < head.config_version:
+            return False
+        return not document.holds_key(head.key_id, head.key_digest)
+
+    async def _admit(self, call_id: int, served: _Served) -> Refusal | None:
+        head = served.head
+        ticket = Ticket(
+            call_id=call_id,
+            account=head.account,
+            weight=head.weight,
+            priority=head.priority,
+            rank=head.rank,
+            deadline_at_ms=served.deadline_at_ms,
+            long_download=head.long,
+            route=head.route_id,
+            key_id=head.key_id,
+        )
+        offer = self.gate.offer(self.clock.now_ms(), ticket)
+        self._apply(offer.evicted)
+        match offer.verdict:
+            case Dispatch():
+                return None
+            case Queued():
+                await served.decided.wait()
+                return served.verdict
+            case refusal:
+                return refusal
+
+    def _apply(self, actions: list[Action] | tuple[Refuse, ...]) -> None:
+        """Tell waiting calls what the gate has decided."""
+        for action in actions:
+            served = self._calls.get(action.call_id)  # type: ignore[call-overload]
+            if served is None:
+                continue
+            if isinstance(action, Refuse):
+                served.verdict = action.refusal
+            served.decided.set()
+
+    def _leave_gate(self, call_id: int, served: _Served) -> None:
+        now_ms = self.clock.now_ms()
+        latency_ms = now_ms - served.sent_at_ms if served.sent_at_ms else 0
+        self._apply(self.gate.cancel(now_ms, call_id))
+        self._apply(self.gate.release(now_ms, call_id, served.outcome, latency_ms))
+
+    async def _run(self, served: _Served, call: RunningCall) -> None:
+        served.phase = _Phase.SENT
+        served.sent_at_ms = self.clock.now_ms()
+        http_call = await self.backend.send(call)
+        if isinstance(http_call, Refusal):
+            served.outcome = Outcome.ERROR
+            head = refusal_to_head(http_call, call.spent)
+            served.responder.send_answer(self._dress(head, served.head, call.services))
+            return
+        try:
+            await self._relay(served, call, http_call)
+        finally:
+            http_call.cancel()
+
+    async def _relay(self, served: _Served, call: RunningCall, http_call: HttpCall) -> None:
+        answer = http_call.answer
+        inline = await self._collect_small(http_call)
+        if isinstance(inline, Refusal):
+            served.outcome = Outcome.ERROR
+            head = refusal_to_head(inline, call.spent)
+            served.responder.send_answer(self._dress(head, served.head, call.services))
+            return
+        served.outcome = _judge(answer.status)
+        length = None if answer.length is None or inline is not None else answer.length
+        headers = filter_answer_headers(answer.headers)
+        head = AnswerHead(
+            status=answer.status,
+            headers=headers if length is None else (*headers, "content-length", str(length)),
+            spent=call.spent,
+            body=inline or b"",
+            complete=inline is not None,
+        )
+        served.responder.send_answer(self._dress(head, served.head, call.services))
+        served.phase = _Phase.ANSWERED
+        if inline is None:
+            await self._stream(served, http_call)
+
+    @staticmethod
+    async def _collect_small(http_call: HttpCall) -> bytes | Refusal | None:
+        """Return the whole body when it is small; None when it has to be streamed."""
+        answer = http_call.answer
+        known_small = answer.length is not None and answer.length <= INLINE_BODY_BYTES
+        whole_small = answer.body.is_ended and answer.body.received_bytes <= INLINE_BODY_BYTES
+        if not known_small and not whole_small:
+            return None
+        parts: list[bytes] = []
+        while True:
+            chunk = await answer.body.receive()
+            if chunk is None:
+                return b"".join(parts)
+            if isinstance(chunk, Refusal):
+                return chunk
+            parts.append(chunk)
+
+    async def _stream(self, served: _Served, http_call: HttpCall) -> None:
+        """Pass a long body on; a long download is bounded by its stall limit alone."""
+        stall_s = served.head.stall_ms / _MS_PER_S
+        while True:
+            if served.head.long:
+                served.scope.deadline = anyio.current_time() + stall_s
+            chunk = await http_call.answer.body.receive()
+            if chunk is None:
+                served.responder.finish_body()
+                return
+            if isinstance(chunk, Refusal):
+                served.outcome = Outcome.ERROR
+                served.responder.abort_body(chunk)
+                return
+            if not await served.responder.send_body(chunk):
+                served.outcome = Outcome.CANCELLED
+                return
+
+    def _end_early(self, served: _Served) -> None:
+        """Answer a call that was ended by its deadline, a withdrawn key or a stop."""
+        refusal = self._explain_end(served)
+        if served.phase is _Phase.ANSWERED:
+            served.responder.abort_body(refusal)
+            return
+        head = refusal_to_head(refusal)
+        served.responder.send_answer(self._dress(head, served.head, ()))
+
+    def _explain_end(self, served: _Served) -> Refusal:
+        run_state = RunState.NOT_RUN if served.phase is _Phase.WAITING else RunState.UNKNOWN
+        if served.ended_by is not None:
+            return attrs.evolve(served.ended_by, run_state=run_state)
+        if served.phase is _Phase.ANSWERED and served.head.long:
+            return Refusal(ResultCode.ANSWER_STALLED, "the download stalled", RunState.RAN)
+        if self.is_stopping and self.clock.now_ms() < served.deadline_at_ms:
+            return Refusal(ResultCode.STOPPING, "the daemon was stopped", run_state)
+        return Refusal(ResultCode.DEADLINE_PASSED, "the deadline has passed", run_state)
+
+    def _dress(
+        self, head: AnswerHead, call: CallHead, services: set[str] | tuple[()]
+    ) -> AnswerHead:
+        """Return the head with this VM's load and the levels of the chain below it."""
+        now_ms = self.clock.now_ms()
+        own = self.gate.level(call.account)
+        relayed = self.levels.relay(now_ms, services, self.vm_id, call.account) if services else ()
+        return attrs.evolve(
+            head,
+            in_flight=self.gate.running() + self.gate.queued(),
+            limit=self.gate.limiter.limit(),
+            levels=(own, *relayed),
+            leaving=self.is_stopping,
+        )
+
+
+def _judge(status: int) -> Outcome:
+    """Return what an HTTP status says of the backend server's load."""
+    if status in _REJECTED_STATUSES:
+        return Outcome.REJECTED
+    return Outcome.ERROR if status >= _FIRST_ERROR_STATUS else Outcome.SUCCESS
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -1,1 +1,34 @@
 """Framed, authenticated links between daemons and HTTP on the call path."""
+
+from .body import BodyStream, collect_body
+from .const import INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
+from .http_client import HttpAnswer, HttpCall, HttpClientPool, encode_request
+from .http_server import HttpExchange, HttpRequest, HttpServerConnection
+from .link import Link, LinkOwner, PendingCall, ServedCall
+from .models import AnswerHead, CallHead, Hello
+from .pool import LinkPool
+from .tls import PeerMaterial, make_caller_context
+
+__all__ = [
+    "INLINE_BODY_BYTES",
+    "MAX_REQUEST_BODY_BYTES",
+    "AnswerHead",
+    "BodyStream",
+    "CallHead",
+    "Hello",
+    "HttpAnswer",
+    "HttpCall",
+    "HttpClientPool",
+    "HttpExchange",
+    "HttpRequest",
+    "HttpServerConnection",
+    "Link",
+    "LinkOwner",
+    "LinkPool",
+    "PeerMaterial",
+    "PendingCall",
+    "ServedCall",
+    "collect_body",
+    "encode_request",
+    "make_caller_context",
+]
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/body.py
@@ -0,0 +1,109 @@
+"""A body that is read while it still arrives, within bounded memory."""
+
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from wisteria_core import Refusal
+
+from .const import CREDIT_THRESHOLD_BYTES
+
+
+def _ignore(_count: int) -> None:
+    return None
+
+
+@attrs.define
+class BodyStream:
+    """Bytes from one writer to one reader, with a definite end.
+
+    The writer calls `feed`, then `finish` or `fail`. The reader calls `receive` until it
+    returns None (whole) or a refusal (cut). A body that was cut never ends with None.
+
+    Parameters
+    ----------
+    on_consumed : callable
+        Called with a number of bytes that the reader has taken, so that the writer may
+        send as many again.
+    """
+
+    on_consumed: Callable[[int], None] = _ignore
+    received_bytes: int = 0
+    _chunks: deque[bytes] = attrs.field(factory=deque)
+    _unreported: int = 0
+    _ended: bool = False
+    _refusal: Refusal | None = None
+    _ready: anyio.Event | None = None
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the writer has finished or failed."""
+        return self._ended
+
+    def feed(self, data: bytes) -> None:
+        """Append bytes from the writer."""
+        if self._ended or not data:
+            return
+        self.received_bytes += len(data)
+        self._chunks.append(data)
+        self._wake()
+
+    def finish(self) -> None:
+        """Mark the body as whole."""
+        self._ended = True
+        self._wake()
+
+    def fail(self, refusal: Refusal) -> None:
+        """Mark the body as cut."""
+        if self._ended:
+            return
+        self._ended = True
+        self._refusal = refusal
+        self._wake()
+
+    async def receive(self) -> bytes | Refusal | None:
+        """Return the next bytes, None at the whole end, or the refusal that cut it."""
+        while not self._chunks:
+            if self._ended:
+                return self._refusal
+            self._ready = anyio.Event()
+            await self._ready.wait()
+        chunk = self._chunks.popleft()
+        self._report(len(chunk))
+        return chunk
+
+    def _report(self, count: int) -> None:
+        self._unreported += count
+        if self._unreported < CREDIT_THRESHOLD_BYTES and not (self._ended and self._chunks):
+            return
+        self.on_consumed(self._unreported)
+        self._unreported = 0
+
+    def _wake(self) -> None:
+        if self._ready is not None:
+            self._ready.set()
+            self._ready = None
+
+
+async def collect_body(body: BodyStream, limit: int) -> bytes | Refusal | None:
+    """Read a whole body of at most `limit` bytes.
+
+    Returns
+    -------
+    bytes, Refusal or None
+        The body; the refusal that cut it; None when it is longer than `limit`.
+    """
+    parts: list[bytes] = []
+    total = 0
+    while True:
+        chunk = await body.receive()
+        if chunk is None:
+            return b"".join(parts)
+        if isinstance(chunk, Refusal):
+            return chunk
+        total += len(chunk)
+        if total > limit:
+            return None
+        parts.append(chunk)
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -0,0 +1,169 @@
+"""Cap'n Proto encoding of the heads of calls and answers."""
+
+from importlib import resources
+from typing import Any
+
+import capnp
+
+from wisteria_admission import AdmissionLevel
+from wisteria_core import Priority, ResultCode, RunState, VmId
+
+from .const import MAX_FRAME_BYTES
+from .models import AnswerHead, CallHead, FrameFault, Hello
+
+_SCHEMA_FILE = resources.files("wisteria_wire") / "wire.capnp"
+_TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
+_RUN_STATES = (RunState.RAN, RunState.NOT_RUN, RunState.UNKNOWN)
+_RUN_STATE_NUMBERS = {state: number for number, state in enumerate(_RUN_STATES)}
+_NO_RETRY_AFTER = -1
+_MAX_INT32 = 2**31 - 1
+
+capnp.remove_import_hook()
+_schema: Any = capnp.load(str(_SCHEMA_FILE))
+
+
+def _read(struct: Any, payload: bytes) -> Any:
+    return struct.from_bytes(payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS)
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Return the Cap'n Proto bytes of a hello."""
+    message = _schema.Hello.new_message(
+        protocol=hello.protocol, vmId=hello.vm_id, incarnation=hello.incarnation
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_hello(payload: bytes) -> Hello | FrameFault:
+    """Return the hello in `payload`, or the fault that keeps it from being read."""
+    try:
+        with _read(_schema.Hello, payload) as message:
+            return Hello(message.protocol, VmId(message.vmId), message.incarnation)
+    except (capnp.KjException, ValueError):
+        return FrameFault.GARBLED
+
+
+def encode_call(head: CallHead) -> bytes:
+    """Return the Cap'n Proto bytes of a call."""
+    message = _schema.CallHead.new_message()
+    message.requestId = head.request_id
+    message.routeId = head.route_id
+    message.service = head.service
+    message.method = head.method
+    message.target = head.target
+    message.headers = head.headers
+    message.account = head.account
+    message.keyId = head.key_id
+    message.priority = int(head.priority)
+    message.rank = head.rank
+    message.remainingMs = max(head.remaining_ms, 0)
+    message.allowance = head.allowance
+    message.idempotencyKey = head.idempotency_key
+    message.configVersion = head.config_version
+    message.body = head.body
+    message.ownerRun = head.owner_run
+    message.keyDigest = head.key_digest
+    message.hops = head.hops
+    message.long = head.long
+    message.stallMs = head.stall_ms
+    message.weight = head.weight
+    message.repeatable = head.repeatable
+    return bytes(message.to_bytes())
+
+
+def decode_call(payload: bytes) -> CallHead | FrameFault:
+    """Return the call in `payload`, or the fault that keeps it from being read."""
+    try:
+        with _read(_schema.CallHead, payload) as message:
+            headers = tuple(message.headers)
+            if len(headers) % 2:
+                return FrameFault.GARBLED
+            return CallHead(
+                request_id=message.requestId,
+                route_id=message.routeId,
+                service=message.service,
+                method=message.method,
+                target=message.target,
+                headers=headers,
+                account=message.account,
+                key_id=message.keyId,
+                priority=Priority(message.priority),
+                rank=message.rank,
+                remaining_ms=message.remainingMs,
+                allowance=message.allowance,
+                idempotency_key=message.idempotencyKey,
+                config_version=message.configVersion,
+                body=bytes(message.body),
+                owner_run=message.ownerRun,
+                key_digest=message.keyDigest,
+                hops=message.hops,
+                long=message.long,
+                stall_ms=message.stallMs,
+                weight=message.weight,
+                repeatable=message.repeatable,
+            )
+    except (capnp.KjException, ValueError):
+        return FrameFault.GARBLED
+
+
+def encode_answer(head: AnswerHead) -> bytes:
+    """Return the Cap'n Proto bytes of the head of an answer."""
+    message = _schema.AnswerHead.new_message()
+    message.status = head.status
+    message.headers = head.headers
+    message.code = int(head.code)
+    message.runState = _RUN_STATE_NUMBERS[head.run_state]
+    message.reason = head.reason
+    if head.retry_after_ms is not None:
+        message.retryAfterMs = min(head.retry_after_ms, _MAX_INT32)
+    message.spent = head.spent
+    message.inFlight = head.in_flight
+    message.limit = head.limit
+    message.body = head.body
+    message.complete = head.complete
+    message.leaving = head.leaving
+    if head.levels:
+        _write_levels(message.init("levels", len(head.levels)), head.levels)
+    return bytes(message.to_bytes())
+
+
+def decode_answer(payload: bytes) -> AnswerHead | FrameFault:
+    """Return the answer in `payload`, or the fault that keeps it from being read."""
+    try:
+        with _read(_schema.AnswerHead, payload) as message:
+            headers = tuple(message.headers)
+            if len(headers) % 2 or message.runState >= len(_RUN_STATES):
+                return FrameFault.GARBLED
+            retry_after_ms = message.retryAfterMs
+            return AnswerHead(
+                status=message.status,
+                headers=headers,
+                code=ResultCode(message.code),
+                run_state=_RUN_STATES[message.runState],
+                reason=message.reason,
+                retry_after_ms=None if retry_after_ms == _NO_RETRY_AFTER else retry_after_ms,
+                spent=message.spent,
+                in_flight=message.inFlight,
+                limit=message.limit,
+                body=bytes(message.body),
+                complete=message.complete,
+                leaving=message.leaving,
+                levels=tuple(_read_level(one) for one in message.levels),
+            )
+    except (capnp.KjException, ValueError):
+        return FrameFault.GARBLED
+
+
+def _write_levels(builders: Any, levels: tuple[AdmissionLevel, ...]) -> None:
+    for builder, level in zip(builders, levels, strict=True):
+        builder.service = level.service
+        builder.vmId = level.vm_id
+        builder.threshold = level.threshold
+        builder.overShare = level.over_share
+        builder.ageMs = level.age_ms
+
+
+def _read_level(reader: Any) -> AdmissionLevel:
+    return AdmissionLevel(
+        reader.service, reader.vmId, reader.threshold, reader.overShare, reader.ageMs
+    )
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -0,0 +1,326 @@
+"""HTTP/1.1 towards the backend server of the VM, over a bounded pool of connections."""
+
+import asyncio
+from collections import deque
+
+import anyio
+import attrs
+import httptools
+
+from wisteria_core import Clock, Refusal, ResultCode, RunState
+
+from .body import BodyStream
+from .const import (
+    DEFAULT_CONNECT_TIMEOUT_MS,
+    DEFAULT_IDLE_CONNECTION_MS,
+    FRESH_CONNECTION_MS,
+    MAX_HEADER_BYTES,
+    WINDOW_BYTES,
+)
+
+_MS_PER_S = 1_000
+_INFORMATIONAL = 200
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-connection",
+    }
+)
+
+
+@attrs.define(eq=False)
+class HttpAnswer:
+    """An answer of the backend server whose body may still arrive.
+
+    Parameters
+    ----------
+    headers : tuple of str
+        Names in lower case and values in turn, without hop-by-hop headers.
+    length : int or None
+        Declared length of the body in bytes; None when it is chunked.
+    """
+
+    status: int
+    headers: tuple[str, ...]
+    length: int | None
+    body: BodyStream
+
+
+def _fail(code: ResultCode, reason: str, run_state: RunState) -> Refusal:
+    return Refusal(code, reason, run_state)
+
+
+CONNECT_FAILED = _fail(
+    ResultCode.BACKEND_SERVER_FAILED, "the backend server accepts no connection", RunState.NOT_RUN
+)
+CUT_BEFORE_ANSWER = _fail(
+    ResultCode.BACKEND_SERVER_FAILED,
+    "the backend server closed the connection before it answered",
+    RunState.UNKNOWN,
+)
+CUT_IN_ANSWER = _fail(ResultCode.ANSWER_TRUNCATED, "the answer was cut short", RunState.RAN)
+
+
+class HttpClientConnection(asyncio.Protocol):
+    """One connection to the backend server; carries one request at a time."""
+
+    def __init__(self, pool: "HttpClientPool") -> None:
+        self.idle_since_ms = 0
+        self._pool = pool
+        self._transport: asyncio.Transport | None = None
+        self._answer_ready: anyio.Event | None = None
+        self._answer: HttpAnswer | Refusal | None = None
+        self._body: BodyStream | None = None
+        self._buffered = 0
+        self._lost = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[str] = []
+        self._header_bytes = 0
+        self._length: int | None = None
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent."""
+        return not self._lost and self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take note of the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if self._answer_ready is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
+            self.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the request that is under way."""
+        self._lost = True
+        self._pool.forget(self)
+        if self._body is not None:
+            self._body.fail(CUT_IN_ANSWER)
+        elif self._answer_ready is not None:
+            self._settle(CUT_BEFORE_ANSWER)
+
+    async def send(self, data: bytes) -> HttpAnswer | Refusal:
+        """Send a request and return the head of its answer."""
+        assert self._transport is not None
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer = None
+        self._body = None
+        self._answer_ready = anyio.Event()
+        self._transport.write(data)
+        await self._answer_ready.wait()
+        assert self._answer is not None
+        return self._answer
+
+    def abort(self) -> None:
+        """Cut the connection, which cancels the request at the backend server."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Start a new answer."""
+        self._headers = []
+        self._header_bytes = 0
+        self._length = None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header of the answer."""
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            raise ValueError("headers too large")
+        key = name.decode("latin-1").lower()
+        if key == "content-length":
+            self._length = int(value)
+            return
+        if key not in _HOP_HEADERS:
+            self._headers += (key, value.decode("latin-1"))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over."""
+        status = self._parser.get_status_code()
+        if status < _INFORMATIONAL:
+            return
+        self._buffered = 0
+        self._body = BodyStream(on_consumed=self._resume)
+        self._settle(HttpAnswer(status, tuple(self._headers), self._length, self._body))
+
+    def on_body(self, data: bytes) -> None:
+        """Pass body bytes on; stop reading when the reader is behind."""
+        if self._body is None:
+            return
+        self._body.feed(data)
+        self._buffered += len(data)
+        if self._buffered > WINDOW_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """End the body and make the connection free again."""
+        if self._body is None:
+            return
+        body, self._body = self._body, None
+        body.finish()
+        self._answer_ready = None
+        if not self._parser.should_keep_alive():
+            self.close()
+        self._pool.release(self)
+
+    def _resume(self, count: int) -> None:
+        self._buffered -= count
+        if self._buffered <= WINDOW_BYTES and self.is_usable and self._transport is not None:
+            self._transport.resume_reading()
+
+    def _settle(self, answer: HttpAnswer | Refusal) -> None:
+        if self._answer is not None or self._answer_ready is None:
+            return
+        self._answer = answer
+        self._answer_ready.set()
+
+
+class HttpClientPool:
+    """Connections to one backend server.
+
+    Parameters
+    ----------
+    host, port
+        Where the backend server listens.
+    max_connections : int
+        Bound on open connections; a request beyond it waits for a free one.
+    clock : Clock
+        Source of milliseconds.
+    """
+
+    def __init__(self, host: str, port: int, max_connections: int, clock: Clock) -> None:
+        self._host = host
+        self._port = port
+        self._clock = clock
+        self._places = anyio.Semaphore(max_connections, max_value=max_connections)
+        self._idle: deque[HttpClientConnection] = deque()
+        self._busy: set[HttpClientConnection] = set()
+        self._authority = f"{host}:{port}"
+
+    @property
+    def authority(self) -> str:
+        """Host and port, as in the Host header."""
+        return self._authority
+
+    async def send(self, data: bytes, fresh: bool = False) -> "HttpCall | Refusal":
+        """Send the bytes of a request and return the call with the head of its answer.
+
+        Parameters
+        ----------
+        fresh : bool
+            Use no connection that has stood idle for long: the backend server may be
+            closing it, which would leave the outcome unknown.
+        """
+        await self._places.acquire()
+        connection = self._take_idle(fresh) or await self._connect()
+        if connection is None:
+            self._places.release()
+            return CONNECT_FAILED
+        self._busy.add(connection)
+        try:
+            answer = await connection.send(data)
+        except BaseException:
+            connection.abort()
+            raise
+        if isinstance(answer, Refusal):
+            return answer
+        return HttpCall(connection, answer)
+
+    def release(self, connection: HttpClientConnection) -> None:
+        """Take back a connection whose answer is complete."""
+        self._give_place_back(connection)
+        if not connection.is_usable:
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        self._idle.append(connection)
+
+    def forget(self, connection: HttpClientConnection) -> None:
+        """Drop a connection that is closed."""
+        self._give_place_back(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    async def async_unload(self) -> None:
+        """Close every connection."""
+        for connection in [*self._idle, *self._busy]:
+            connection.close()
+        self._idle.clear()
+
+    def _give_place_back(self, connection: HttpClientConnection) -> None:
+        if connection in self._busy:
+            self._busy.discard(connection)
+            self._places.release()
+
+    def _take_idle(self, fresh: bool) -> HttpClientConnection | None:
+        limit_ms = FRESH_CONNECTION_MS if fresh else DEFAULT_IDLE_CONNECTION_MS
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable and now_ms - connection.idle_since_ms <= limit_ms:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self) -> HttpClientConnection | None:
+        loop = asyncio.get_running_loop()
+        try:
+            with anyio.fail_after(DEFAULT_CONNECT_TIMEOUT_MS / _MS_PER_S):
+                _, connection = await loop.create_connection(
+                    lambda: HttpClientConnection(self), self._host, self._port
+                )
+        except (OSError, TimeoutError):
+            return None
+        except BaseException:
+            self._places.release()
+            raise
+        return connection
+
+
+@attrs.define(eq=False)
+class HttpCall:
+    """A request whose answer has begun."""
+
+    connection: HttpClientConnection
+    answer: HttpAnswer
+
+    def cancel(self) -> None:
+        """Cut the connection unless the answer has arrived whole."""
+        if not self.answer.body.is_ended:
+            self.connection.abort()
+
+
+def encode_request(method: str, target: str, headers: tuple[str, ...], body: bytes) -> bytes:
+    """Return the bytes of an HTTP/1.1 request.
+
+    Parameters
+    ----------
+    headers : tuple of str
+        Names and values in turn, without a length header.
+    """
+    pairs = iter(headers)
+    lines = [f"{method} {target} HTTP/1.1\r\n"]
+    lines.extend(f"{name}: {value}\r\n" for name, value in zip(pairs, pairs, strict=True))
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {len(body)}\r\n")
+    lines.append("\r\n")
+    return "".join(lines).encode("latin-1") + body
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -0,0 +1,321 @@
+"""HTTP/1.1 towards callers: parses requests and writes answers with backpressure."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+
+import anyio
+import attrs
+import httptools
+
+from wisteria_core import ResultCode
+
+from .const import MAX_HEADER_BYTES, MAX_PIPELINED_REQUESTS, MAX_REQUEST_BODY_BYTES
+
+_LOGGER = logging.getLogger(__name__)
+_CHUNKED_END = b"0\r\n\r\n"
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@attrs.define(eq=False)
+class HttpRequest:
+    """A whole request of a caller.
+
+    Parameters
+    ----------
+    method, target : str
+        As received.
+    headers : tuple of (str, str)
+        Names in lower case, values as received.
+    fault : ResultCode
+        ``OK``, or why the request can't be served.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    keep_alive: bool
+    exchange: "HttpExchange"
+    fault: ResultCode = ResultCode.OK
+
+    def find_header(self, name: str) -> str | None:
+        """Return the value of the first header of that lower-case name."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    def count_header(self, name: str) -> int:
+        """Return how often a header of that lower-case name occurs."""
+        return sum(1 for key, _ in self.headers if key == name)
+
+
+@attrs.define(eq=False)
+class HttpExchange:
+    """The answer side of one request."""
+
+    connection: "HttpServerConnection"
+    keep_alive: bool
+    is_head: bool = False
+    started: bool = False
+    on_cancel: Callable[[], None] | None = None
+    is_cancelled: bool = False
+    _chunked: bool = False
+    _ended: bool = False
+
+    def answer(self, status: int, headers: tuple[str, ...], body: bytes) -> None:
+        """Send a whole answer.
+
+        Parameters
+        ----------
+        headers : tuple of str
+            Names and values in turn, without length or connection headers.
+        """
+        framing = "" if status == HTTPStatus.NO_CONTENT else f"content-length: {len(body)}\r\n"
+        head = self._head(status, headers, framing)
+        self.connection.write(head if self.is_head else head + body)
+        self._end()
+
+    def start(self, status: int, headers: tuple[str, ...], length: int | None) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        self._chunked = length is None
+        framing = (
+            "transfer-encoding: chunked\r\n" if length is None else f"content-length: {length}\r\n"
+        )
+        self.connection.write(self._head(status, headers, framing))
+
+    async def send(self, data: bytes) -> bool:
+        """Send a part of the body; False when the caller has gone."""
+        if self.is_cancelled:
+            return False
+        if self.is_head:
+            return True
+        if self._chunked:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self.connection.write(data)
+        await self.connection.wait_writable()
+        return not self.is_cancelled
+
+    def finish(self) -> None:
+        """End the body."""
+        if self._chunked and not self.is_head:
+            self.connection.write(_CHUNKED_END)
+        self._end()
+
+    def abort(self) -> None:
+        """Cut the connection, so that the answer can't look whole."""
+        self.connection.abort()
+
+    def cancel(self) -> None:
+        """Take note that the caller has gone."""
+        self.is_cancelled = True
+        if self.on_cancel is not None:
+            self.on_cancel()
+
+    def _head(self, status: int, headers: tuple[str, ...], framing: str) -> bytes:
+        self.started = True
+        lines = [f"HTTP/1.1 {status} {_phrase(status)}\r\n"]
+        pairs = iter(headers)
+        lines.extend(f"{name}: {value}\r\n" for name, value in zip(pairs, pairs, strict=True))
+        lines.append(framing)
+        if not self.keep_alive:
+            lines.append("connection: close\r\n")
+        lines.append("\r\n")
+        return "".join(lines).encode("latin-1", "replace")
+
+    def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self.connection.finish_exchange(self)
+
+
+RequestHandler = Callable[[HttpRequest], None]
+
+
+class HttpServerConnection(asyncio.Protocol):
+    """One caller's connection; requests are answered in the order of their arrival."""
+
+    def __init__(self, handler: RequestHandler, connections: set["HttpServerConnection"]) -> None:
+        self._handler = handler
+        self._connections = connections
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._current: HttpExchange | None = None
+        self._waiting: deque[HttpRequest] = deque()
+        self._writable: anyio.Event | None = None
+        self._closing = False
+        self._reset()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take note of the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request that is being served."""
+        self._connections.discard(self)
+        self._waiting.clear()
+        if self._current is not None:
+            self._current.cancel()
+        self.resume_writing()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived."""
+        if self._closing:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(ResultCode.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(
+                self._fault if self._fault is not ResultCode.OK else ResultCode.BAD_REQUEST
+            )
+        if len(self._waiting) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
+            self._transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """Hold the writer until the caller has read."""
+        self._writable = anyio.Event()
+
+    def resume_writing(self) -> None:
+        """Let the writer go on."""
+        if self._writable is not None:
+            self._writable.set()
+            self._writable = None
+
+    # httptools
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the target."""
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header, or a trailer, which is dropped."""
+        self._count_header_bytes(len(name) + len(value))
+        if self._headers_complete:
+            return
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Answer an expectation, so that the body is sent."""
+        self._headers_complete = True
+        if any(name == "expect" for name, _ in self._headers) and self._current is None:
+            self.write(_CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body += data
+        if len(self._body) > MAX_REQUEST_BODY_BYTES:
+            self._fault = ResultCode.BODY_TOO_LARGE
+            raise ValueError("body too large")
+
+    def on_message_complete(self) -> None:
+        """Hand the request over, or keep it until the one before it is answered."""
+        request = self._make_request(ResultCode.OK)
+        if self._current is not None:
+            self._waiting.append(request)
+            return
+        self._serve(request)
+
+    # for exchanges
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller unless it has gone."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def wait_writable(self) -> None:
+        """Wait until the caller has read enough."""
+        if self._writable is not None:
+            await self._writable.wait()
+
+    def finish_exchange(self, exchange: HttpExchange) -> None:
+        """Go on with the next request, or close."""
+        self._current = None
+        if not exchange.keep_alive:
+            self.close()
+            return
+        if self._waiting:
+            self._serve(self._waiting.popleft())
+        elif self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        """Close once all that was written has been sent."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def close_when_idle(self) -> None:
+        """Close now, or after the answer that is under way."""
+        if self._current is None:
+            self.close()
+        else:
+            self._current.keep_alive = False
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    # own
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._headers_complete = False
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._fault = ResultCode.OK
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
+        if self._header_bytes > MAX_HEADER_BYTES:
+            self._fault = ResultCode.HEADER_TOO_LARGE
+            raise ValueError("headers too large")
+
+    def _make_request(self, fault: ResultCode) -> HttpRequest:
+        method = (
+            "GET" if fault is not ResultCode.OK else self._parser.get_method().decode("latin-1")
+        )
+        keep_alive = fault is ResultCode.OK and self._parser.should_keep_alive()
+        exchange = HttpExchange(self, keep_alive, method == "HEAD")
+        return HttpRequest(
+            method=method,
+            target=self._target.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=bytes(self._body),
+            keep_alive=keep_alive,
+            exchange=exchange,
+            fault=fault,
+        )
+
+    def _refuse(self, fault: ResultCode) -> None:
+        self._closing = True
+        request = self._make_request(fault)
+        if self._current is not None:
+            self._waiting.append(request)
+            return
+        self._serve(request)
+
+    def _serve(self, request: HttpRequest) -> None:
+        self._current = request.exchange
+        self._handler(request)
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -0,0 +1,354 @@
+"""One authenticated TCP link between two daemons, multiplexed by call id."""
+
+import asyncio
+import logging
+import struct
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+import attrs
+
+from wisteria_core import Refusal, ResultCode, RunState, VmId
+
+from .body import BodyStream
+from .codec import (
+    decode_answer,
+    decode_call,
+    decode_hello,
+    encode_answer,
+    encode_call,
+    encode_hello,
+)
+from .const import PROTOCOL_VERSION, WINDOW_BYTES
+from .frames import FrameReader, encode_frame
+from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
+from .tls import read_peer_names
+
+_LOGGER = logging.getLogger(__name__)
+_COUNT = struct.Struct("!Q")
+
+LINK_LOST = Refusal(ResultCode.LINK_LOST, "the link to the daemon was lost", RunState.UNKNOWN)
+
+
+class LinkOwner(Protocol):
+    """What a link tells the daemon that holds it."""
+
+    def handle_link_open(self, link: "Link") -> bool:
+        """Take note of an authenticated link; False closes it."""
+
+    def handle_call(self, served: "ServedCall", head: CallHead) -> None:
+        """Serve a call that the peer has sent."""
+
+    def handle_control(self, link: "Link", kind: int, payload: bytes) -> None:
+        """Take a control message of the peer."""
+
+    def handle_link_closed(self, link: "Link", reason: str) -> None:
+        """Take note that the link is gone."""
+
+
+@attrs.define(eq=False)
+class PendingCall:
+    """A call sent to the peer whose answer is awaited."""
+
+    link: "Link"
+    call_id: int
+    body: BodyStream = attrs.field(factory=BodyStream)
+    _answer: AnswerHead | Refusal | None = None
+    _ready: anyio.Event = attrs.field(factory=anyio.Event)
+
+    async def wait_answer(self) -> AnswerHead | Refusal:
+        """Return the head of the answer, or a refusal when the link is lost."""
+        await self._ready.wait()
+        assert self._answer is not None
+        return self._answer
+
+    def cancel(self) -> None:
+        """Tell the peer that nobody waits for the answer any more."""
+        self.link.cancel_call(self.call_id)
+
+    def settle(self, answer: AnswerHead | Refusal) -> None:
+        """Hand the head over to the waiting task; a second head is ignored."""
+        if self._answer is not None:
+            return
+        self._answer = answer
+        self._ready.set()
+
+
+@attrs.define(eq=False)
+class ServedCall:
+    """A call that the peer has sent and that is answered here."""
+
+    link: "Link"
+    call_id: int
+    on_cancel: Callable[[], None] | None = None
+    is_cancelled: bool = False
+    _credit: int = WINDOW_BYTES
+    _credit_grown: anyio.Event | None = None
+    _sent_bytes: int = 0
+
+    def send_answer(self, head: AnswerHead) -> None:
+        """Send the head; a complete head ends the call."""
+        self.link.send_frame(FrameKind.ANSWER, self.call_id, encode_answer(head))
+        if head.complete:
+            self.link.forget_served(self.call_id)
+
+    async def send_body(self, data: bytes) -> bool:
+        """Send body bytes once the peer has room; False when the call was cancelled."""
+        while self._credit <= 0 and not self.is_cancelled:
+            self._credit_grown = anyio.Event()
+            await self._credit_grown.wait()
+        if self.is_cancelled:
+            return False
+        self._credit -= len(data)
+        self._sent_bytes += len(data)
+        self.link.send_frame(FrameKind.BODY, self.call_id, data)
+        return True
+
+    def finish_body(self) -> None:
+        """Send the end of the body with its length, which the peer checks."""
+        self.link.send_frame(FrameKind.BODY_END, self.call_id, _COUNT.pack(self._sent_bytes))
+        self.link.forget_served(self.call_id)
+
+    def abort_body(self, refusal: Refusal) -> None:
+        """Tell the peer that the body was cut and why."""
+        head = AnswerHead(0, code=refusal.code, run_state=refusal.run_state, reason=refusal.reason)
+        self.link.send_frame(FrameKind.BODY_ABORT, self.call_id, encode_answer(head))
+        self.link.forget_served(self.call_id)
+
+    def add_credit(self, count: int) -> None:
+        """Allow `count` more bytes to be sent."""
+        self._credit += count
+        self._wake()
+
+    def cancel(self) -> None:
+        """Mark the call as cancelled by the peer or by the loss of the link."""
+        self.is_cancelled = True
+        self._wake()
+        if self.on_cancel is not None:
+            self.on_cancel()
+
+    def _wake(self) -> None:
+        if self._credit_grown is not None:
+            self._credit_grown.set()
+            self._credit_grown = None
+
+
+class Link(asyncio.Protocol):
+    """Both ends of a link behave alike; only the dialer's calls have even ids.
+
+    Parameters
+    ----------
+    owner : LinkOwner
+        Receives calls, control messages and the news of opening and closing.
+    hello : Hello
+        What this daemon says of itself.
+    expected : VmId or None
+        The VM that was dialed; None on the accepting side.
+    """
+
+    def __init__(self, owner: LinkOwner, hello: Hello, expected: VmId | None) -> None:
+        self.peer: Hello | None = None
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.opened = anyio.Event()
+        self.closed = anyio.Event()
+        self._owner = owner
+        self._hello = hello
+        self._expected = expected
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._pending: dict[int, PendingCall] = {}
+        self._served: dict[int, ServedCall] = {}
+        self._next_call_id = 1
+        self._close_reason = "closed by the peer"
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer is authenticated and the transport is up."""
+        return self.peer is not None and not self.closed.is_set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the hello as soon as the transport is up."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.send_frame(FrameKind.HELLO, 0, encode_hello(self._hello))
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the frames that `data` completes."""
+        self.received_bytes += len(data)
+        for frame in self._reader.feed(data):
+            fault = self._handle_frame(frame)
+            if fault is not None:
+                self.close(fault.value)
+                return
+        if self._reader.fault is not None:
+            self.close(self._reader.fault.value)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End every call that depends on the link."""
+        self.closed.set()
+        self.opened.set()
+        pending, self._pending = self._pending, {}
+        served, self._served = self._served, {}
+        for call in pending.values():
+            call.settle(LINK_LOST)
+            call.body.fail(LINK_LOST)
+        for one in served.values():
+            one.cancel()
+        self._owner.handle_link_closed(self, str(exc) if exc else self._close_reason)
+
+    def close(self, reason: str) -> None:
+        """Close the link at once."""
+        self._close_reason = reason
+        if self._transport is not None:
+            self._transport.abort()
+
+    def send_frame(self, kind: FrameKind, call_id: int, payload: bytes) -> None:
+        """Write one frame; on a closed link nothing happens."""
+        if self._transport is None or self.closed.is_set():
+            return
+        data = encode_frame(kind, call_id, payload)
+        self.sent_bytes += len(data)
+        self._transport.write(data)
+
+    def send_call(self, head: CallHead) -> PendingCall:
+        """Send a call and return the handle of its answer."""
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        call = PendingCall(self, call_id)
+        call.body.on_consumed = lambda count: self._send_credit(call_id, count)
+        if not self.is_open:
+            call.settle(
+                Refusal(ResultCode.LINK_LOST, "the link to the daemon is down", RunState.NOT_RUN)
+            )
+            return call
+        self._pending[call_id] = call
+        self.send_frame(FrameKind.CALL, call_id, encode_call(head))
+        return call
+
+    def send_control(self, kind: int, payload: bytes) -> None:
+        """Send a control message; its kind travels in the place of the call id."""
+        self.send_frame(FrameKind.CONTROL, kind, payload)
+
+    def cancel_call(self, call_id: int) -> None:
+        """Forget a pending call and tell the peer."""
+        if self._pending.pop(call_id, None) is not None:
+            self.send_frame(FrameKind.CANCEL, call_id, b"")
+
+    def forget_served(self, call_id: int) -> None:
+        """Drop the record of a call that has been answered."""
+        self._served.pop(call_id, None)
+
+    def _send_credit(self, call_id: int, count: int) -> None:
+        self.send_frame(FrameKind.CREDIT, call_id, _COUNT.pack(count))
+
+    def _handle_frame(self, frame: Frame) -> FrameFault | None:
+        if self.peer is None:
+            return self._handle_hello(frame)
+        match frame.kind:
+            case FrameKind.CALL:
+                return self._handle_call(frame)
+            case FrameKind.ANSWER:
+                return self._handle_answer(frame)
+            case FrameKind.BODY | FrameKind.BODY_END | FrameKind.BODY_ABORT:
+                return self._handle_body(frame)
+            case FrameKind.CREDIT:
+                return self._handle_credit(frame)
+            case FrameKind.CANCEL:
+                self._handle_cancel(frame)
+            case FrameKind.CONTROL:
+                self._owner.handle_control(self, frame.call_id, frame.payload)
+            case FrameKind.HELLO:
+                return FrameFault.GARBLED
+        return None
+
+    def _handle_hello(self, frame: Frame) -> FrameFault | None:
+        if frame.kind is not FrameKind.HELLO:
+            return FrameFault.GARBLED
+        hello = decode_hello(frame.payload)
+        if isinstance(hello, FrameFault):
+            return hello
+        if hello.protocol != PROTOCOL_VERSION:
+            return FrameFault.VERSION
+        if not self._is_authentic(hello):
+            _LOGGER.warning("link refused claimed_vm=%s", hello.vm_id)
+            return FrameFault.GARBLED
+        self.peer = hello
+        self.opened.set()
+        if not self._owner.handle_link_open(self):
+            self.close("refused")
+        return None
+
+    def _is_authentic(self, hello: Hello) -> bool:
+        if self._expected is not None and hello.vm_id != self._expected:
+            return False
+        assert self._transport is not None
+        certificate = self._transport.get_extra_info("peercert")
+        return certificate is not None and hello.vm_id in read_peer_names(certificate)
+
+    def _handle_call(self, frame: Frame) -> FrameFault | None:
+        head = decode_call(frame.payload)
+        if isinstance(head, FrameFault):
+            return head
+        if frame.call_id in self._served:
+            return FrameFault.GARBLED
+        served = ServedCall(self, frame.call_id)
+        self._served[frame.call_id] = served
+        self._owner.handle_call(served, head)
+        return None
+
+    def _handle_answer(self, frame: Frame) -> FrameFault | None:
+        call = self._pending.get(frame.call_id)
+        if call is None:
+            return None
+        head = decode_answer(frame.payload)
+        if isinstance(head, FrameFault):
+            return head
+        if head.complete:
+            del self._pending[frame.call_id]
+            call.body.feed(head.body)
+            call.body.finish()
+        call.settle(head)
+        return None
+
+    def _handle_body(self, frame: Frame) -> FrameFault | None:
+        call = self._pending.get(frame.call_id)
+        if call is None:
+            return None
+        if frame.kind is FrameKind.BODY:
+            call.body.feed(frame.payload)
+            return None
+        del self._pending[frame.call_id]
+        if frame.kind is FrameKind.BODY_ABORT:
+            head = decode_answer(frame.payload)
+            if isinstance(head, FrameFault):
+                return head
+            call.body.fail(Refusal(head.code, head.reason, head.run_state))
+            return None
+        return self._end_body(call, frame.payload)
+
+    def _end_body(self, call: PendingCall, payload: bytes) -> FrameFault | None:
+        if len(payload) != _COUNT.size:
+            return FrameFault.GARBLED
+        (total,) = _COUNT.unpack(payload)
+        if total == call.body.received_bytes:
+            call.body.finish()
+            return None
+        call.body.fail(
+            Refusal(ResultCode.ANSWER_TRUNCATED, "the answer arrived short", RunState.RAN)
+        )
+        return None
+
+    def _handle_credit(self, frame: Frame) -> FrameFault | None:
+        if len(frame.payload) != _COUNT.size:
+            return FrameFault.GARBLED
+        served = self._served.get(frame.call_id)
+        if served is not None:
+            served.add_credit(_COUNT.unpack(frame.payload)[0])
+        return None
+
+    def _handle_cancel(self, frame: Frame) -> None:
+        served = self._served.pop(frame.call_id, None)
+        if served is not None:
+            served.cancel()
--- /dev/null
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -0,0 +1,137 @@
+"""Messages that travel on a link between two daemons."""
+
+import enum
+
+import attrs
+
+from wisteria_admission import AdmissionLevel
+from wisteria_core import Priority, ResultCode, RunState, VmId
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame carries."""
+
+    HELLO = 1
+    CALL = 2
+    ANSWER = 3
+    BODY = 4
+    BODY_END = 5
+    BODY_ABORT = 6
+    CREDIT = 7
+    CANCEL = 8
+    CONTROL = 9
+
+
+class FrameFault(enum.Enum):
+    """Why a stream of frames can't be read any further."""
+
+    VERSION = "unknown protocol version"
+    KIND = "unknown frame kind"
+    OVERSIZED = "frame larger than allowed"
+    GARBLED = "payload can't be decoded"
+
+
+@attrs.frozen
+class Frame:
+    """One frame: its kind, the call that it belongs to (0 for none) and its payload."""
+
+    kind: FrameKind
+    call_id: int
+    payload: bytes
+
+
+@attrs.frozen
+class Hello:
+    """First message on a link, in both directions."""
+
+    protocol: int
+    vm_id: VmId
+    incarnation: int
+
+
+@attrs.frozen
+class CallHead:
+    """A call as one daemon passes it to another; carries no key.
+
+    Parameters
+    ----------
+    headers : tuple of str
+        Names and values in turn: ``(name, value, name, value, ...)``.
+    key_id : str
+        Name of the key record, so that a withdrawal ends queued work; empty on open routes.
+    rank : int
+        Shedding rank of the whole request; a higher rank is shed earlier.
+    remaining_ms : int
+        Time left until the deadline when the frame was sent, in milliseconds.
+    allowance : int
+        Retries that the receiver may spend for this call and its child calls.
+    owner_run : bool
+        True when the owner of the idempotency key has recorded the run already.
+    key_digest : str
+        SHA-256 of the key, in hexadecimal digits; empty on open routes.
+    hops : int
+        Calls above this one in the chain.
+    long : bool
+        True for a long download, whose answer may take longer than the deadline as long as
+        it does not stall for `stall_ms`.
+    weight : int
+        Weight of the account in a busy queue.
+    repeatable : bool
+        True when the call may run more than once.
+    """
+
+    request_id: str
+    route_id: str
+    service: str
+    method: str
+    target: str
+    headers: tuple[str, ...]
+    account: str
+    key_id: str
+    priority: Priority
+    rank: int
+    remaining_ms: int
+    allowance: int
+    idempotency_key: str
+    config_version: int
+    body: bytes = b""
+    owner_run: bool = False
+    key_digest: str = ""
+    hops: int = 0
+    long: bool = False
+    stall_ms: int = 0
+    weight: int = 1
+    repeatable: bool = False
+
+
+@attrs.frozen
+class AnswerHead:
+    """The head of an answer, with its whole body when that is small.
+
+    Parameters
+    ----------
+    spent : int
+        Retries that the call and its child calls have spent.
+    in_flight, limit : int
+        Calls that run at the serving daemon, and its concurrency limit.
+    levels : tuple of AdmissionLevel
+        Level of the serving daemon, then those of services that it called for this request.
+    complete : bool
+        True when `body` is the whole body; otherwise body frames follow.
+    leaving : bool
+        True when the serving daemon takes no new work.
+    """
+
+    status: int
+    headers: tuple[str, ...] = ()
+    code: ResultCode = ResultCode.OK
+    run_state: RunState = RunState.RAN
+    reason: str = ""
+    retry_after_ms: int | None = None
+    spent: int = 0
+    in_flight: int = 0
+    limit: int = 0
+    body: bytes = b""
+    complete: bool = True
+    leaving: bool = False
+    levels: tuple[AdmissionLevel, ...] = ()
