--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/platform.py
@@ -0,0 +1,278 @@
+"""Reads and watches what the platform publishes: the configuration document and the VM list."""
+
+import enum
+import json
+import logging
+import random
+from typing import Any
+
+import anyio
+import attrs
+from anyio.streams.memory import MemoryObjectSendStream
+
+from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState
+
+from .const import MAX_VALUE_BYTES
+from .httpx_slim import httpx
+from .settings import PlatformSettings, TimingSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+HEADER_VERSION = "x-version"
+HEADER_VM = "wisteria-vm"
+MS_PER_S = 1_000.0
+STATUS_OK = 200
+STATUSES_NO_NEWS = (204, 304)
+
+
+class Resource(enum.Enum):
+    """What the platform publishes."""
+
+    DOCUMENT = "document"
+    VMS = "vms"
+
+
+@attrs.frozen
+class DocumentRead:
+    """The platform's configuration document, not validated yet.
+
+    Parameters
+    ----------
+    raw : bytes
+        The document.
+    version : int
+        Version under which the platform publishes it.
+    """
+
+    raw: bytes
+    version: int
+
+
+@attrs.frozen
+class ListRead:
+    """The platform's list of VMs."""
+
+    vms: VmList
+
+
+@attrs.frozen
+class NoNews:
+    """A watch ended without a later version: what is known was confirmed.
+
+    Parameters
+    ----------
+    resource : Resource
+        What was watched.
+    version : int
+        Version than which there is no later one.
+    """
+
+    resource: Resource
+    version: int
+
+
+@attrs.frozen
+class ReadFailed:
+    """A read that gave nothing.
+
+    Parameters
+    ----------
+    resource : Resource
+        What was read.
+    reason : str
+        What failed.
+    """
+
+    resource: Resource
+    reason: str
+
+
+ReadResult = DocumentRead | ListRead | NoNews | ReadFailed
+
+
+@attrs.define
+class Backoff:
+    """Pauses after failed reads: doubled each time up to a bound, with full jitter.
+
+    Parameters
+    ----------
+    first_ms, max_ms : int
+        Bounds of the pause before jitter, in milliseconds.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    first_ms: int
+    max_ms: int
+    rng: random.Random
+    failures: int = 0
+
+    def next_ms(self) -> int:
+        """Return the pause after one more failure, in milliseconds; at least half the bound."""
+        bound = min(self.max_ms, self.first_ms << min(self.failures, 20))
+        self.failures += 1
+        return bound // 2 + self.rng.randint(0, bound - bound // 2)
+
+    def reset(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+
+
+def parse_vms(raw: bytes) -> VmList | str:
+    """Return the list of VMs in the platform's JSON, or what is wrong with it."""
+    try:
+        fields = json.loads(raw)
+        vms = tuple(_parse_vm(row) for row in fields["vms"])
+        version = _require(fields["version"], int)
+    except KeyError as error:
+        return f"the list of VMs lacks {error}"
+    except (ValueError, TypeError, RecursionError) as error:
+        return f"the list of VMs is malformed: {error}"
+    if len({vm.vm_id for vm in vms}) < len(vms):
+        return "the list of VMs names a VM twice"
+    return VmList(version, vms)
+
+
+def _parse_vm(row: dict[str, Any]) -> Vm:
+    return Vm(
+        vm_id=VmId(_require(row["vm_id"], str)),
+        host=_require(row["host"], str),
+        peer_port=_require(row["peer_port"], int),
+        caller_port=_require(row["caller_port"], int),
+        failure_domain=FailureDomain(_require(row["failure_domain"], str)),
+        service=_require(row["service"], str),
+        state=VmState(row.get("state", VmState.LIVE.value)),
+    )
+
+
+def _require(value: Any, wanted: type) -> Any:
+    if type(value) is not wanted:
+        raise TypeError(f"{value!r} is not of type {wanted.__name__}")
+    return value
+
+
+def make_http_client(platform: PlatformSettings, vm_id: str) -> httpx.AsyncClient:
+    """Return the HTTP client for both resources; whoever makes it closes it.
+
+    The certificates of authorities are loaded only when an endpoint speaks TLS.
+
+    Parameters
+    ----------
+    platform : PlatformSettings
+        Where the resources are published.
+    vm_id : str
+        Name of this VM, sent along so that the platform can tell its readers apart.
+    """
+    speaks_tls = any(url.startswith("https:") for url in (platform.config_url, platform.vms_url))
+    return httpx.AsyncClient(
+        headers={HEADER_VM: vm_id}, verify=speaks_tls, trust_env=False, follow_redirects=False
+    )
+
+
+@attrs.define
+class PlatformClient:
+    """Client of one published resource.
+
+    Parameters
+    ----------
+    resource : Resource
+        What is read.
+    url : str
+        Where it is published.
+    timing : TimingSettings
+        Timeouts.
+    http : httpx.AsyncClient
+        Client that carries the reads; see `make_http_client`.
+    """
+
+    resource: Resource
+    _url: str
+    _timing: TimingSettings
+    _http: httpx.AsyncClient
+
+    async def async_read(self) -> ReadResult:
+        """Read the published version."""
+        return await self._async_get({}, self._timing.read_timeout_ms)
+
+    async def async_watch(self, version: int) -> ReadResult:
+        """Wait until a version later than `version` is published, or for the watch's time."""
+        watch_ms = self._timing.watch_timeout_ms
+        params = {"watch": str(version), "timeout_ms": str(watch_ms)}
+        result = await self._async_get(params, watch_ms + self._timing.read_timeout_ms)
+        return NoNews(self.resource, version) if result is _NOTHING_LATER else result
+
+    async def _async_get(self, params: dict[str, str], timeout_ms: int) -> ReadResult:
+        try:
+            with anyio.fail_after(timeout_ms / MS_PER_S):
+                return await self._async_stream(params, timeout_ms)
+        except (httpx.HTTPError, TimeoutError) as error:
+            return self._fail(f"{type(error).__name__} {error}".strip())
+
+    async def _async_stream(self, params: dict[str, str], timeout_ms: int) -> ReadResult:
+        timeout = httpx.Timeout(self._timing.read_timeout_ms / MS_PER_S, read=timeout_ms / MS_PER_S)
+        async with self._http.stream("GET", self._url, params=params, timeout=timeout) as response:
+            if response.status_code in STATUSES_NO_NEWS:
+                return _NOTHING_LATER
+            if response.status_code != STATUS_OK:
+                return self._fail(f"status {response.status_code}")
+            body = bytearray()
+            async for chunk in response.aiter_bytes():
+                body += chunk
+                if len(body) > MAX_VALUE_BYTES:
+                    return self._fail(f"more than {MAX_VALUE_BYTES} bytes")
+            return self._parse(bytes(body), response.headers.get(HEADER_VERSION, ""))
+
+    def _parse(self, raw: bytes, version: str) -> ReadResult:
+        match self.resource:
+            case Resource.DOCUMENT:
+                if not version.isascii() or not version.isdigit():
+                    return self._fail(f"header {HEADER_VERSION} is not a whole number")
+                return DocumentRead(raw, int(version))
+            case Resource.VMS:
+                vms = parse_vms(raw)
+                return ListRead(vms) if isinstance(vms, VmList) else self._fail(vms)
+
+    def _fail(self, reason: str) -> ReadFailed:
+        return ReadFailed(self.resource, reason)
+
+
+_NOTHING_LATER = NoNews(Resource.DOCUMENT, -1)
+
+
+async def async_watch_platform(
+    client: PlatformClient,
+    results: MemoryObjectSendStream[ReadResult],
+    backoff: Backoff,
+    clock: Clock,
+    seen: int = -1,
+) -> None:
+    """Watch one resource until cancelled, and send each result to its owner.
+
+    A failed read is sent as `ReadFailed`. A version that is not later than the last seen is
+    sent as well: its owner decides what to make of it. After either, and after a watch that
+    ended without waiting, there is a pause of `backoff`.
+
+    Parameters
+    ----------
+    seen : int
+        Version known already; the first watch waits for a later one. -1 reads at once.
+    """
+    while True:
+        started_ms = clock.now_ms()
+        result = await (client.async_watch(seen) if seen >= 0 else client.async_read())
+        await results.send(result)
+        match result:
+            case DocumentRead(_, version) | ListRead(VmList(version, _)):
+                is_useful = version > seen
+                seen = max(seen, version)
+            case NoNews():
+                is_useful = clock.now_ms() - started_ms >= backoff.first_ms
+            case ReadFailed(resource, reason):
+                is_useful = False
+                _LOGGER.info(
+                    "platform_read_failed", extra={"resource": resource.value, "reason": reason}
+                )
+        if is_useful:
+            backoff.reset()
+        else:
+            await anyio.sleep(backoff.next_ms() / MS_PER_S)
