--- a/libs/admission/src/wisteria_admission/chain.py
+++ b/libs/admission/src/wisteria_admission/chain.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wisteria_core import Refusal, ResultCode
+from wisteria_core import Priority, Refusal, ResultCode
 
 from .const import HASH_RANKS, RANK_COUNT
 from .models import AdmissionLevel
@@ -22,7 +22,6 @@
     """Last level heard from one reporter."""
 
     threshold: int
-    over_share: frozenset[str]
     heard_ms: int
 
     def threshold_at(self, now_ms: int) -> int:
@@ -34,6 +33,14 @@
         return int(self.threshold + (RANK_COUNT - self.threshold) * part)
 
 
+@attrs.frozen
+class _Excess:
+    """Last excess heard of one account at one priority."""
+
+    milli: int
+    heard_ms: int
+
+
 @attrs.define
 class ChainLevels:
     """Admission levels learnt from answers, by service and by route.
@@ -44,10 +51,16 @@
     """
 
     _services: dict[str, dict[str, _Heard]] = attrs.Factory(dict)
+    _excesses: dict[str, dict[tuple[str, Priority], _Excess]] = attrs.Factory(dict)
     _routes: dict[str, dict[str, float]] = attrs.Factory(dict)
 
     def note_answer(
-        self, now_ms: int, route: str, account: str, levels: Iterable[AdmissionLevel]
+        self,
+        now_ms: int,
+        route: str,
+        account: str,
+        priority: Priority,
+        levels: Iterable[AdmissionLevel],
     ) -> None:
         """Take in the levels that came with one answer to a call of `route`.
 
@@ -57,7 +70,10 @@
         named = set()
         for level in levels:
             named.add(level.service)
-            self._note_level(now_ms, account, level)
+            heard_ms = now_ms - level.age_ms
+            self._note_level(heard_ms, level)
+            excess = _Excess(level.excess_milli, heard_ms)
+            self._excesses.setdefault(level.service, {})[account, priority] = excess
         uses = self._routes.setdefault(route, {})
         for service in named - uses.keys():
             uses[service] = 1.0
@@ -83,16 +99,21 @@
             default=RANK_COUNT,
         )
 
-    def is_over_share(self, now_ms: int, account: str, route: str) -> bool:
-        """Return whether a service of the route has named the account as beyond its share."""
-        return any(
-            account in heard.over_share and now_ms - heard.heard_ms < EXPIRY_MS
-            for service in self._needed(route)
-            for heard in self._services.get(service, {}).values()
+    def excess_milli(self, now_ms: int, account: str, priority: Priority, route: str) -> int:
+        """Return the part of the account's demand beyond its share in the route's services.
+
+        The part stands for the service where it is largest.
+        """
+        return max(
+            (
+                self._excess_at(now_ms, service, account, priority)
+                for service in self._needed(route)
+            ),
+            default=0,
         )
 
     def relay(
-        self, now_ms: int, services: Iterable[str], vm_id: str, account: str
+        self, now_ms: int, services: Iterable[str], vm_id: str, account: str, priority: Priority
     ) -> tuple[AdmissionLevel, ...]:
         """Return the levels of the child services that a call used, for its own answer.
 
@@ -104,15 +125,15 @@
             Services that were called for the request, at any depth.
         vm_id : str
             This VM, which stands as the reporter.
-        account : str
-            Client account of the request.
+        account, priority : str, Priority
+            Client account and priority of the request.
         """
         return tuple(
             AdmissionLevel(
                 service,
                 vm_id,
                 self._service_threshold(now_ms, service),
-                any(account in h.over_share for h in self._services[service].values()),
+                self._excess_at(now_ms, service, account, priority),
             )
             for service in sorted(set(services))
             if service in self._services
@@ -126,20 +147,33 @@
                 self._services[service] = kept
             else:
                 del self._services[service]
+        for service, excesses in list(self._excesses.items()):
+            kept_excesses = {
+                key: excess
+                for key, excess in excesses.items()
+                if now_ms - excess.heard_ms < EXPIRY_MS
+            }
+            self._excesses[service] = kept_excesses
+            if not kept_excesses:
+                del self._excesses[service]
 
     def describe(self, now_ms: int) -> dict[str, int]:
         """Return the threshold of each known service."""
         return {name: self._service_threshold(now_ms, name) for name in sorted(self._services)}
 
-    def _note_level(self, now_ms: int, account: str, level: AdmissionLevel) -> None:
+    def _note_level(self, heard_ms: int, level: AdmissionLevel) -> None:
         reporters = self._services.setdefault(level.service, {})
-        earlier = reporters.pop(level.vm_id, None)
-        over = earlier.over_share if earlier else frozenset()
-        over = over | {account} if level.over_share else over - {account}
-        reporters[level.vm_id] = _Heard(level.threshold, over, now_ms - level.age_ms)
+        reporters.pop(level.vm_id, None)
+        reporters[level.vm_id] = _Heard(level.threshold, heard_ms)
         if len(reporters) > MAX_REPORTERS:
             del reporters[next(iter(reporters))]
 
+    def _excess_at(self, now_ms: int, service: str, account: str, priority: Priority) -> int:
+        excess = self._excesses.get(service, {}).get((account, priority))
+        if excess is None or now_ms - excess.heard_ms >= EXPIRY_MS:
+            return 0
+        return excess.milli
+
     def _needed(self, route: str) -> list[str]:
         return [name for name, use in self._routes.get(route, {}).items() if use >= USE_FLOOR]
 
--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -31,7 +31,7 @@
     min_samples: int = 5
     tolerance: float = 1.5
     backoff: float = 0.9
-    baseline_drift: float = 0.02
+    baseline_drift: float = 0.005
 
 
 @attrs.frozen
@@ -43,7 +43,10 @@
     interval_ms : int
         Time between two adjustments.
     target_wait_ms : int
-        Expected queueing delay above which the level falls; it rises below half of it.
+        Least target of the expected queueing delay; the run time of a call counts when it is
+        longer. The level falls above the target and rises below half of it.
+    urgent_factor : int
+        Multiple of the target that the wait of urgent calls alone must pass to shed them.
     max_cut : float
         Largest share of the arrivals that one adjustment sheds.
     min_step, max_step : int
@@ -52,6 +55,7 @@
 
     interval_ms: int = 50
     target_wait_ms: int = 40
+    urgent_factor: int = 5
     max_cut: float = 0.3
     min_step: int = 8
     max_step: int = 128
--- a/libs/admission/src/wisteria_admission/const.py
+++ b/libs/admission/src/wisteria_admission/const.py
@@ -16,3 +16,6 @@
 
 MAX_ROUTES: Final = 1_024
 """Routes whose service times are kept."""
+
+MILLI: Final = 1_000
+"""Thousandths in a whole."""
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -8,7 +8,7 @@
 from wisteria_core import Priority, Refusal, ResultCode
 
 from .config import AdmissionConfig
-from .const import HASH_RANKS
+from .const import HASH_RANKS, RANK_COUNT
 from .estimates import RunTimes
 from .levels import LevelController
 from .limiters import GradientLimiter, Limiter
@@ -147,10 +147,13 @@
         self.limiter.set_ceiling(self.slots)
         return self._advance(now_ms)
 
-    def level(self, account: str = "") -> AdmissionLevel:
-        """Return the message to put on an answer to a call of `account`."""
+    def level(self, account: str, priority: Priority) -> AdmissionLevel:
+        """Return the message to put on an answer to a call of `account` at `priority`."""
         return AdmissionLevel(
-            self.service, self.vm_id, self._level.threshold, self._shares.is_over(account)
+            self.service,
+            self.vm_id,
+            self._level.threshold,
+            self._shares.excess_milli(account, priority),
         )
 
     def queued(self) -> int:
@@ -199,8 +202,8 @@
             return self._unreachable(now_ms, ticket)
         lane.running[ticket.call_id] = ticket
         lane.queue.charge(ticket, math.ceil(run_ms))
-        self._shares.note_served(run_ms)
         if lane is self._short:
+            self._shares.note_served(ticket.priority, run_ms)
             self._level.note_served()
         return Dispatch(ticket.call_id)
 
@@ -281,20 +284,18 @@
     # estimating
 
     def _count_arrival(self, now_ms: int, ticket: Ticket) -> None:
-        self._shares.note_demand(ticket.account, ticket.weight, self._run_ms(now_ms, ticket))
-        if not ticket.long_download:
-            self._level.note_arrival(ticket.rank)
+        if ticket.long_download:
+            return
+        run_ms = self._run_ms(now_ms, ticket)
+        self._shares.note_demand(ticket.account, ticket.priority, ticket.weight, run_ms)
+        self._level.note_arrival(ticket.rank)
 
     def _adjust(self, now_ms: int) -> None:
         queue = self._short.queue
         wait_ms = self._wait_ms(now_ms, self._short, len(queue))
         urgent_ms = self._wait_ms(now_ms, self._short, queue.size_of(Priority.URGENT))
-        self._level.update(now_ms, wait_ms, urgent_ms)
-        self._shares.update(now_ms, self.queued() > 0 or not self._level.admits(self._top_rank()))
-
-    @staticmethod
-    def _top_rank() -> int:
-        return HASH_RANKS * 2 * len(Priority) - 1
+        self._level.update(now_ms, self._times.overall_ms(now_ms), wait_ms, urgent_ms)
+        self._shares.update(now_ms, len(queue) > 0 or self._level.threshold < RANK_COUNT)
 
     def _run_ms(self, now_ms: int, ticket: Ticket) -> float:
         if ticket.long_download:
--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -41,13 +41,15 @@
         """Count a dispatched call."""
         self._served += 1
 
-    def update(self, now_ms: int, wait_ms: float, urgent_wait_ms: float) -> None:
+    def update(self, now_ms: int, run_ms: float, wait_ms: float, urgent_wait_ms: float) -> None:
         """Adjust the threshold when an interval has passed.
 
         Parameters
         ----------
         now_ms : int
             Present time.
+        run_ms : float
+            Expected run time of a call.
         wait_ms : float
             Expected wait of a newcomer behind everything that is queued.
         urgent_wait_ms : float
@@ -56,9 +58,11 @@
         if now_ms - self._updated_ms < self.config.interval_ms:
             return
         self._updated_ms = now_ms
-        if wait_ms > self.config.target_wait_ms:
-            self._cut(0 if urgent_wait_ms > self.config.target_wait_ms else RANKS_PER_PRIORITY)
-        elif 2 * wait_ms < self.config.target_wait_ms:
+        target_ms = max(float(self.config.target_wait_ms), run_ms)
+        if wait_ms > target_ms:
+            sheds_urgent = urgent_wait_ms > self.config.urgent_factor * target_ms
+            self._cut(0 if sheds_urgent else RANKS_PER_PRIORITY)
+        elif 2 * wait_ms < target_ms:
             self._raise()
         self._ranks.clear()
         self._served = 0
--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -8,6 +8,12 @@
 from .config import LimiterConfig
 from .models import Outcome
 
+WINDOW_SMOOTHING = 0.5
+"""Weight of the last window in the smoothed latency and throughput."""
+
+REDUCTION_JUDGED_AT = 0.7
+"""Part of the limit at which a run of decreases is judged."""
+
 
 class Limiter(Protocol):
     """A concurrency limit that learns from the calls that end."""
@@ -64,6 +70,35 @@
         return max(0.5, self.latency_sum_ms / max(1, self.samples))
 
 
+@attrs.define
+class _Reduction:
+    """A run of decreases, to tell congestion from a server that has become slower.
+
+    Under congestion a lower limit shortens the calls and keeps the throughput. When instead
+    the throughput falls and the calls stay as long, fewer calls at once are of no use.
+    """
+
+    restored_limit: float
+    limit: float
+    latency_ms: float
+    throughput: float
+
+    def note(self, limit: float, latency_ms: float, throughput: float) -> None:
+        """Judge from the window with the longest calls."""
+        if latency_ms > self.latency_ms:
+            self.limit, self.latency_ms, self.throughput = limit, latency_ms, throughput
+
+    def was_useless(self, limit: float, latency_ms: float, throughput: float) -> bool:
+        """Return whether the throughput, not the latency, has followed the limit down."""
+        part = limit / self.limit
+        midway = (1.0 + part) / 2.0
+        return (
+            part <= REDUCTION_JUDGED_AT
+            and latency_ms > midway * self.latency_ms
+            and throughput < midway * self.throughput
+        )
+
+
 @attrs.define
 class AdaptiveLimiter:
     """Common part of the limiters that adjust once for each window of samples.
@@ -82,6 +117,9 @@
     _baseline_ms: float = attrs.field(init=False, default=0.0)
     _cold: bool = attrs.field(init=False, default=True)
     _window: _Window = attrs.field(init=False, factory=_Window)
+    _latency_ms: float = attrs.field(init=False, default=0.0)
+    _throughput: float = attrs.field(init=False, default=0.0)
+    _reduction: _Reduction | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         self._limit = float(self.config.initial)
@@ -105,8 +143,11 @@
         if window.samples + window.drops < self.config.min_samples:
             return
         self._window = _Window(now_ms)
+        self._smooth(window, max(1, now_ms - window.started_ms))
         self._track_baseline(window)
+        before = self._limit
         self._limit = self._adjusted(window)
+        self._judge_reduction(before)
         self._clamp()
 
     def _adjusted(self, window: _Window) -> float:
@@ -126,6 +167,27 @@
         else:
             self._baseline_ms += (mean - self._baseline_ms) * self.config.baseline_drift
 
+    def _judge_reduction(self, before: float) -> None:
+        """Take back a run of decreases that did not shorten the calls."""
+        latency_ms, throughput = self._latency_ms, self._throughput
+        if self._limit > before:
+            self._reduction = None
+        elif self._reduction is None:
+            if self._limit < before:
+                self._reduction = _Reduction(before, before, latency_ms, throughput)
+        elif self._reduction.was_useless(before, latency_ms, throughput):
+            self._baseline_ms = latency_ms
+            self._limit = self._reduction.restored_limit
+            self._reduction = None
+        else:
+            self._reduction.note(before, latency_ms, throughput)
+
+    def _smooth(self, window: _Window, elapsed_ms: int) -> None:
+        throughput = window.samples / elapsed_ms
+        self._throughput += WINDOW_SMOOTHING * (throughput - self._throughput)
+        if window.samples:
+            self._latency_ms += WINDOW_SMOOTHING * (window.mean_ms() - self._latency_ms)
+
     def _is_slow(self, window: _Window) -> bool:
         return window.mean_ms() > self.config.tolerance * self._baseline_ms
 
--- a/libs/admission/src/wisteria_admission/models.py
+++ b/libs/admission/src/wisteria_admission/models.py
@@ -114,8 +114,9 @@
         VM that reported it.
     threshold : int
         Ranks below it are admitted; `RANK_COUNT` admits all.
-    over_share : bool
-        Whether the account of this call uses more than its fair share there.
+    excess_milli : int
+        Thousandths of the demand of this call's account, at its priority, that exceed the
+        fair share of the account there.
     age_ms : int
         Age of the level when the answer was sent, for levels passed on.
     """
@@ -123,5 +124,5 @@
     service: str
     vm_id: str
     threshold: int = RANK_COUNT
-    over_share: bool = False
+    excess_milli: int = 0
     age_ms: int = 0
--- a/libs/admission/src/wisteria_admission/rank.py
+++ b/libs/admission/src/wisteria_admission/rank.py
@@ -4,25 +4,29 @@
 
 from wisteria_core import Priority
 
-from .const import HASH_RANKS, RANKS_PER_PRIORITY
+from .const import HASH_RANKS, MILLI, RANKS_PER_PRIORITY
 
 
-def shed_rank(priority: Priority, over_share: bool, request_id: str) -> int:
+def shed_rank(priority: Priority, excess_milli: int, request_id: str) -> int:
     """Return the shed rank of a request; higher ranks are shed first.
 
     Parameters
     ----------
     priority : Priority
         Decides first: no urgent request ranks behind another.
-    over_share : bool
-        Whether the account is beyond its fair share; decides second.
+    excess_milli : int
+        Thousandths of the account's demand beyond its fair share, see
+        `ChainLevels.excess_milli`. That part of its requests ranks behind the rest of the
+        priority.
     request_id : str
-        Stable over the whole chain and over retries; spreads the rest evenly.
+        Stable over the whole chain; spreads the requests evenly.
 
     Returns
     -------
     int
         In ``range(RANK_COUNT)``.
     """
-    spread = int(xxhash.xxh3_64_intdigest(request_id.encode())) % HASH_RANKS
-    return int(priority) * RANKS_PER_PRIORITY + int(over_share) * HASH_RANKS + spread
+    value = int(xxhash.xxh3_64_intdigest(request_id.encode()))
+    spread = value % HASH_RANKS
+    exceeds = value // HASH_RANKS % MILLI < excess_milli
+    return int(priority) * RANKS_PER_PRIORITY + int(exceeds) * HASH_RANKS + spread
--- a/libs/admission/src/wisteria_admission/shares.py
+++ b/libs/admission/src/wisteria_admission/shares.py
@@ -1,46 +1,79 @@
-"""Fair shares: which client accounts ask for more than their part of a contended server."""
+"""Fair shares: how much of each client account's demand exceeds its part of a busy server."""
 
 import attrs
 
+from wisteria_core import Priority
+
+from .const import MILLI
+
 HALF_LIFE_MS = 1_000
 INTERVAL_MS = 100
-MARGIN = 1.1
 NEGLIGIBLE_MS = 0.5
 
 
 @attrs.define
-class _Usage:
-    """Decayed demand and service of one account, in milliseconds of work."""
+class _Demand:
+    """Decayed demand of one account at one priority, in milliseconds of work."""
 
     weight: int = 1
     demand_ms: float = 0.0
+    excess_milli: int = 0
+
+
+@attrs.define
+class _Class:
+    """Demand and service at one priority."""
+
+    accounts: dict[str, _Demand] = attrs.Factory(dict)
+    served_ms: float = 0.0
+
+    def decay(self, factor: float) -> None:
+        self.served_ms *= factor
+        for demand in self.accounts.values():
+            demand.demand_ms *= factor
+        self.accounts = {
+            name: demand
+            for name, demand in self.accounts.items()
+            if demand.demand_ms > NEGLIGIBLE_MS
+        }
+
+    def divide(self) -> None:
+        """Divide what was served by weighted max-min fairness; note what exceeds the parts."""
+        left_ms = self.served_ms
+        weights = sum(demand.weight for demand in self.accounts.values())
+        for demand in sorted(self.accounts.values(), key=lambda d: d.demand_ms / d.weight):
+            share_ms = min(demand.demand_ms, left_ms * demand.weight / weights)
+            demand.excess_milli = int(MILLI * (1.0 - share_ms / demand.demand_ms))
+            left_ms -= share_ms
+            weights -= demand.weight
 
 
 @attrs.define
 class ShareTracker:
     """Compares each account's recent demand with its weighted max-min fair share.
 
-    Accounts count as beyond their share only while demand exceeds what is served.
+    The share is one of what was served at the same priority. Nothing counts as excess while
+    the server is not contended.
     """
 
-    _accounts: dict[str, _Usage] = attrs.Factory(dict)
-    _served_ms: float = 0.0
+    _classes: dict[Priority, _Class] = attrs.Factory(lambda: {p: _Class() for p in Priority})
     _updated_ms: int = 0
-    _over: frozenset[str] = frozenset()
+    _contended: bool = False
 
-    def note_demand(self, account: str, weight: int, cost_ms: float) -> None:
+    def note_demand(self, account: str, priority: Priority, weight: int, cost_ms: float) -> None:
         """Count work that an account asks for, whether it is admitted or not."""
-        usage = self._accounts.setdefault(account, _Usage())
-        usage.weight = max(1, weight)
-        usage.demand_ms += max(1.0, cost_ms)
+        demand = self._classes[priority].accounts.setdefault(account, _Demand())
+        demand.weight = max(1, weight)
+        demand.demand_ms += max(1.0, cost_ms)
 
-    def note_served(self, cost_ms: float) -> None:
+    def note_served(self, priority: Priority, cost_ms: float) -> None:
         """Count work that was dispatched."""
-        self._served_ms += max(1.0, cost_ms)
+        self._classes[priority].served_ms += max(1.0, cost_ms)
 
-    def is_over(self, account: str) -> bool:
-        """Return whether the account was beyond its fair share at the last update."""
-        return account in self._over
+    def excess_milli(self, account: str, priority: Priority) -> int:
+        """Return the thousandths of the account's demand beyond its fair share."""
+        demand = self._classes[priority].accounts.get(account)
+        return demand.excess_milli if self._contended and demand is not None else 0
 
     def update(self, now_ms: int, contended: bool) -> None:
         """Recompute the shares when an interval has passed; then let old demand decay."""
@@ -48,26 +81,8 @@
         if elapsed_ms < INTERVAL_MS:
             return
         self._updated_ms = now_ms
-        self._over = self._find_over() if contended else frozenset()
+        self._contended = contended
         factor = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
-        self._served_ms *= factor
-        for usage in self._accounts.values():
-            usage.demand_ms *= factor
-        self._accounts = {
-            name: usage for name, usage in self._accounts.items() if usage.demand_ms > NEGLIGIBLE_MS
-        }
-
-    def _find_over(self) -> frozenset[str]:
-        """Return the accounts above the level of weighted max-min fairness."""
-        left_ms = self._served_ms
-        weights = sum(usage.weight for usage in self._accounts.values())
-        ordered = sorted(
-            self._accounts.items(), key=lambda item: item[1].demand_ms / item[1].weight
-        )
-        for index, (_, usage) in enumerate(ordered):
-            per_weight = left_ms / weights
-            if usage.demand_ms > MARGIN * per_weight * usage.weight:
-                return frozenset(name for name, _ in ordered[index:])
-            left_ms = max(0.0, left_ms - usage.demand_ms)
-            weights -= usage.weight
-        return frozenset()
+        for demands in self._classes.values():
+            demands.divide()
+            demands.decay(factor)
