Start a small fleet on loopback, and end it always

Cause: the demo, the benches and the failure tests need the platform, backend servers and daemons as separate processes with TLS material and free ports. Ruled out: ports from the kernel's ephemeral range (an outgoing connection of another process takes them between probe and listen); a kill by name (each process is known by its id, and dies with the one that started it).

--- a/libs/standins/src/wisteria_standins/backend.py
+++ b/libs/standins/src/wisteria_standins/backend.py
@@ -235,7 +235,9 @@
         if rule.download:
             return answer_download(request, rule, lambda: self.behaviour)
         if rule.answer_bytes:
-            return Response(200, [], read_content(self.behaviour.seed, 0, rule.answer_bytes))
+            return Response(
+                200, [], read_content(self.behaviour.content_seed, 0, rule.answer_bytes)
+            )
         return respond_json(
             {
                 "by": self.name,
--- a/libs/standins/src/wisteria_standins/behaviour.py
+++ b/libs/standins/src/wisteria_standins/behaviour.py
@@ -125,6 +125,10 @@
         Text that marks a caller's key, and text that crashes the server that runs it.
     restart_ms : int
         Time that a crashed server is away, in milliseconds; 0 ends the process for good.
+    seed, content_seed : int
+        Seeds of the service times and failures, and of the content of long answers.
+    rules : tuple of Rule
+        What a run does, by the start of its path.
     """
 
     slots: int = 20
@@ -143,6 +147,7 @@
     poison_marker: str = DEFAULT_POISON_MARKER
     restart_ms: int = 500
     seed: int = DEFAULT_SEED
+    content_seed: int = DEFAULT_SEED
     rules: tuple[Rule, ...] = (Rule(),)
 
     def find_rule(self, path: str) -> Rule:
--- a/libs/standins/src/wisteria_standins/downloads.py
+++ b/libs/standins/src/wisteria_standins/downloads.py
@@ -19,7 +19,7 @@
     `read_behaviour` gives the behaviour at each chunk, so that a stall or a cut can be set
     while the download runs.
     """
-    seed = read_behaviour().seed
+    seed = read_behaviour().content_seed
     size = rule.answer_bytes
     etag = make_etag(seed, size)
     headers = [(b"etag", etag.encode()), (b"accept-ranges", b"bytes")]
@@ -65,7 +65,7 @@
         if cut is not None and position >= cut:
             return
         take = min(BLOCK_BYTES, end - position)
-        yield read_content(behaviour.seed, position, take)
+        yield read_content(behaviour.content_seed, position, take)
         position += take
         if rule.chunk_ms:
             await asyncio.sleep(rule.chunk_ms / MS_PER_S)
--- /dev/null
+++ b/libs/standins/src/wisteria_standins/fleet.py
@@ -0,0 +1,306 @@
+"""Starts a small fleet on loopback as separate processes, and always ends it."""
+
+import asyncio
+import json
+import shutil
+import signal
+import sys
+import tempfile
+from collections.abc import Mapping
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import orjson
+
+from .behaviour import unstructure_behaviour
+from .client import Answer, Call, Client
+from .const import MS_PER_S
+from .fleet_spec import FleetSpec, Node, make_vm_list, plan_nodes, render_settings
+from .managed import ManagedProcess
+from .material import Authority
+from .platform import render_vms
+from .ports import PortReservations
+
+_POLL_S = 0.05
+_CALL_TIMEOUT_MS = 2_000
+_DAEMON_PROGRAM = "wisteriaproxy"
+
+
+class FleetError(Exception):
+    """The fleet could not be started; the message holds the log of the process at fault."""
+
+
+class Fleet:
+    """A running fleet: the platform's stand-in, backend servers and daemons.
+
+    Use it as an asynchronous context manager::
+
+        async with Fleet(spec) as fleet:
+            answer = await fleet.async_call("yield-1", Call("GET", "/stalls/4"))
+
+    Parameters
+    ----------
+    spec : FleetSpec
+        What the fleet consists of.
+    """
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self.spec = spec
+        self.nodes: dict[str, Node] = {}
+        self.daemons: dict[str, ManagedProcess] = {}
+        self.backends: dict[str, ManagedProcess] = {}
+        self.platform_port = 0
+        self.list_version = 0
+        self.folder = Path()
+        self._ports = PortReservations()
+        self._platform: ManagedProcess | None = None
+        self._authority = Authority()
+        self._clients: dict[int, Client] = {}
+        self._leaving: set[str] = set()
+        self._gone: set[str] = set()
+
+    async def __aenter__(self) -> "Fleet":
+        self.folder = Path(tempfile.mkdtemp(prefix="wisteria-fleet-"))
+        try:
+            await self._start()
+        except BaseException:
+            await self.async_stop()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.async_stop()
+
+    async def async_stop(self) -> dict[str, int | None]:
+        """Stop daemons, then backend servers, then the platform; return the exit statuses."""
+        statuses: dict[str, int | None] = {}
+        platform = [self._platform] if self._platform is not None else []
+        for group in (self.daemons.values(), self.backends.values(), platform):
+            group = list(group)
+            found = await asyncio.gather(
+                *(one.async_stop(self.spec.stop_timeout_s) for one in group)
+            )
+            statuses.update(zip((one.name for one in group), found, strict=True))
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+        self._ports.release()
+        if self.folder != Path():
+            shutil.rmtree(self.folder, ignore_errors=True)
+        return statuses
+
+    # Start
+
+    async def _start(self) -> None:
+        self.nodes = {node.vm_id: node for node in plan_nodes(self.spec, self._ports.take)}
+        self._authority.write_certificate(self.folder / "ca.pem")
+        await self._start_platform()
+        for node in self.nodes.values():
+            self._prepare(node)
+        await asyncio.gather(*(backend.async_start() for backend in self.backends.values()))
+        await self._await_backends()
+        await asyncio.gather(*(daemon.async_start() for daemon in self.daemons.values()))
+        await self.async_wait_ready()
+
+    async def _start_platform(self) -> None:
+        self.platform_port = self._ports.take()
+        document = self.folder / "document.json"
+        document.write_bytes(self.spec.document)
+        vms = self.folder / "vms.json"
+        self.list_version = 1
+        vms.write_bytes(render_vms(make_vm_list(list(self.nodes.values()), 1, frozenset())))
+        options = {"--port": self.platform_port, "--document": document, "--vms": vms}
+        self._platform = self._make_standin("platform", "platform", options)
+        await self._platform.async_start()
+        await self._await_answer(self._platform, self.platform_port, "/control/counts")
+
+    def _prepare(self, node: Node) -> None:
+        if self.spec.with_backends:
+            behaviour = self.folder / f"{node.vm_id}.json"
+            behaviour.write_bytes(orjson.dumps(unstructure_behaviour(node.behaviour)))
+            options = {
+                "--port": node.backend_port,
+                "--name": node.vm_id,
+                "--behaviour": behaviour,
+                "--daemon-port": node.vm.caller_port,
+            }
+            name = f"{node.vm_id}.backend"
+            self.backends[node.vm_id] = self._make_standin("backend", name, options)
+        if self.spec.with_daemons:
+            self._authority.write_identity(self.folder, node.vm_id)
+            settings = self.folder / f"{node.vm_id}.toml"
+            settings.write_text(render_settings(node, self.spec, self.platform_port, self.folder))
+            program = str(Path(sys.executable).parent / _DAEMON_PROGRAM)
+            self.daemons[node.vm_id] = ManagedProcess(
+                node.vm_id,
+                (sys.executable, program, "--settings", str(settings)),
+                self.folder / f"{node.vm_id}.log",
+            )
+
+    def _make_standin(
+        self, module: str, name: str, options: Mapping[str, object]
+    ) -> ManagedProcess:
+        words = [str(word) for pair in options.items() for word in pair]
+        command = (sys.executable, "-m", f"wisteria_standins.{module}", *words)
+        return ManagedProcess(name, command, self.folder / f"{name}.log")
+
+    async def _await_backends(self) -> None:
+        await asyncio.gather(
+            *(
+                self._await_answer(backend, self.nodes[vm_id].backend_port, "/health")
+                for vm_id, backend in self.backends.items()
+            )
+        )
+
+    async def async_wait_ready(self, vm_ids: list[str] | None = None) -> None:
+        """Wait until the daemons of these VMs (all by default) say that they are ready."""
+        chosen = list(self.daemons) if vm_ids is None else vm_ids
+        await asyncio.gather(
+            *(
+                self._await_answer(self.daemons[vm_id], self.nodes[vm_id].operator_port, "/ready")
+                for vm_id in chosen
+            )
+        )
+
+    async def _await_answer(self, process: ManagedProcess, port: int, path: str) -> None:
+        """Poll `path` until its status is 200.
+
+        Raises
+        ------
+        FleetError
+            If the process ends, or the time for the fleet to become ready is over.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.spec.ready_timeout_s
+        answer = Answer()
+        while answer.status != 200:
+            if not process.is_running:
+                raise FleetError(f"{process.name} ended by itself:\n{process.read_log()}")
+            if loop.time() > end:
+                raise FleetError(
+                    f"{process.name} is not ready: {answer.error} {answer.body!r}\n"
+                    f"{process.read_log()}"
+                )
+            answer = await self.async_get(port, path)
+            if answer.status != 200:
+                await asyncio.sleep(_POLL_S)
+
+    # Calls
+
+    def client(self, port: int) -> Client:
+        """Return the shared client of a port on loopback."""
+        return self._clients.setdefault(port, Client(port))
+
+    async def async_get(self, port: int, path: str) -> Answer:
+        """Read a path of a port on loopback."""
+        return await self.client(port).async_call(Call("GET", path), _CALL_TIMEOUT_MS)
+
+    async def async_call(self, vm_id: str, call: Call, timeout_ms: int | None = 10_000) -> Answer:
+        """Send a call to the daemon of a VM as a caller does."""
+        return await self.client(self.nodes[vm_id].vm.caller_port).async_call(call, timeout_ms)
+
+    async def async_status(self, vm_id: str) -> dict[str, Any]:
+        """Return what the operators' port of a VM gives as its status."""
+        answer = await self.async_get(self.nodes[vm_id].operator_port, "/status")
+        return _read_json(answer)
+
+    async def async_runs(self, vm_id: str) -> dict[str, Any]:
+        """Return the counts of a VM's backend server."""
+        return _read_json(await self.async_get(self.nodes[vm_id].backend_port, "/control/runs"))
+
+    async def async_set_backend(self, vm_id: str, **changes: object) -> None:
+        """Change fields of the behaviour of a VM's backend server."""
+        call = Call("POST", "/control/set", body=orjson.dumps(changes))
+        _read_json(await self.client(self.nodes[vm_id].backend_port).async_call(call))
+
+    # The platform
+
+    async def async_put_document(self, raw: bytes) -> int:
+        """Publish a configuration document; return its version."""
+        return int((await self._control("PUT", "/control/document", raw))["version"])
+
+    async def async_put_vms(self) -> int:
+        """Publish the list of VMs anew, without those that are gone; return its version."""
+        self.list_version += 1
+        listed = [node for node in self.nodes.values() if node.vm_id not in self._gone]
+        vms = make_vm_list(listed, self.list_version, frozenset(self._leaving))
+        return int((await self._control("PUT", "/control/vms", render_vms(vms)))["version"])
+
+    async def async_mark_leaving(self, vm_id: str) -> None:
+        """Have the platform list a VM as leaving."""
+        self._leaving.add(vm_id)
+        await self.async_put_vms()
+
+    async def async_mark_gone(self, vm_id: str) -> None:
+        """Have the platform take a VM off the list; its processes must have ended.
+
+        Raises
+        ------
+        RuntimeError
+            If its daemon still runs: the platform removes only VMs that it has stopped.
+        """
+        if self.daemons[vm_id].is_running:
+            raise RuntimeError(f"the daemon of {vm_id} still runs")
+        self._gone.add(vm_id)
+        await self.async_put_vms()
+
+    async def async_set_fault(
+        self, readers: list[str] | None = None, resource: str = "", **fault: object
+    ) -> None:
+        """Have the platform fail towards some readers (VM names), or towards all."""
+        content = fault | {"resource": resource} | ({"readers": readers} if readers else {})
+        await self._control("POST", "/control/fault", json.dumps(content).encode())
+
+    async def async_counts(self) -> dict[str, Any]:
+        """Return the platform's counts of reads and watches."""
+        return await self._control("GET", "/control/counts", b"")
+
+    async def _control(self, method: str, path: str, body: bytes) -> dict[str, Any]:
+        call = Call(method, path, body=body)
+        return _read_json(await self.client(self.platform_port).async_call(call))
+
+    # Failures
+
+    def send_signal(self, vm_id: str, number: signal.Signals) -> None:
+        """Send a signal to the daemon of a VM."""
+        self.daemons[vm_id].send_signal(number)
+
+    async def async_kill(self, vm_id: str) -> None:
+        """Kill the daemon of a VM and wait for its end."""
+        self.send_signal(vm_id, signal.SIGKILL)
+        await self.daemons[vm_id].async_wait(self.spec.stop_timeout_s)
+
+    async def async_freeze(self, vm_id: str, duration_ms: int) -> None:
+        """Pause the daemon of a VM for some time."""
+        self.send_signal(vm_id, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(duration_ms / MS_PER_S)
+        finally:
+            self.send_signal(vm_id, signal.SIGCONT)
+
+    async def async_stop_daemon(self, vm_id: str) -> int | None:
+        """Stop the daemon of a VM as planned; return its exit status, None when it hangs."""
+        self.send_signal(vm_id, signal.SIGTERM)
+        return await self.daemons[vm_id].async_wait(self.spec.stop_timeout_s)
+
+    async def async_restart(self, vm_id: str) -> None:
+        """Start the daemon of a VM again after its end, and wait until it is ready."""
+        await self.daemons[vm_id].async_start()
+        await self.async_wait_ready([vm_id])
+
+    def read_log(self, vm_id: str) -> str:
+        """Return the log lines of a VM's daemon."""
+        return self.daemons[vm_id].read_log()
+
+
+def _read_json(answer: Answer) -> dict[str, Any]:
+    if answer.status != 200 or not answer.whole:
+        raise FleetError(f"status {answer.status} {answer.error} {answer.body[:500]!r}")
+    plain: dict[str, Any] = orjson.loads(answer.body)
+    return plain
--- /dev/null
+++ b/libs/standins/src/wisteria_standins/managed.py
@@ -0,0 +1,104 @@
+"""A process that a test or bench starts, watches and always ends."""
+
+import asyncio
+import ctypes
+import os
+import signal
+from pathlib import Path
+
+import attrs
+
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
+_KILL_TIMEOUT_S = 5.0
+
+
+def _die_with_parent() -> None:
+    """Have the kernel end this process when the one that started it dies."""
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@attrs.define
+class ManagedProcess:
+    """One started process with its log file.
+
+    Parameters
+    ----------
+    name : str
+        Name for messages.
+    command : tuple of str
+        Program and arguments.
+    log : Path
+        File that takes standard output and standard error of each start.
+    """
+
+    name: str
+    command: tuple[str, ...]
+    log: Path
+    environment: dict[str, str] = attrs.field(factory=dict)
+    _process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id.
+
+        Raises
+        ------
+        RuntimeError
+            If the process was not started.
+        """
+        if self._process is None:
+            raise RuntimeError(f"{self.name} was not started")
+        return self._process.pid
+
+    @property
+    def exit_status(self) -> int | None:
+        """Return the exit status, negative for a signal; None while it runs."""
+        return None if self._process is None else self._process.returncode
+
+    @property
+    def is_running(self) -> bool:
+        """Return True from the start to the end of the process."""
+        return self._process is not None and self._process.returncode is None
+
+    async def async_start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as output:
+            self._process = await asyncio.create_subprocess_exec(
+                *self.command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"UV_USE_IO_URING": "0"} | self.environment,
+                preexec_fn=_die_with_parent,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this one process, if it still runs."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+
+    async def async_wait(self, timeout_s: float) -> int | None:
+        """Return the exit status, or None when it still runs after `timeout_s` seconds."""
+        if self._process is None:
+            return None
+        try:
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            return None
+
+    async def async_stop(self, timeout_s: float) -> int | None:
+        """Ask the process to stop, and kill it after `timeout_s` seconds; return its status."""
+        if not self.is_running:
+            return self.exit_status
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        status = await self.async_wait(timeout_s)
+        if status is None:
+            self.send_signal(signal.SIGKILL)
+            status = await self.async_wait(_KILL_TIMEOUT_S)
+        return status
+
+    def read_log(self) -> str:
+        """Return everything that the process wrote."""
+        return self.log.read_text(errors="replace") if self.log.exists() else ""
--- a/libs/standins/src/wisteria_standins/platform.py
+++ b/libs/standins/src/wisteria_standins/platform.py
@@ -136,8 +136,12 @@
         await self.server.async_stop()
 
     def put_document(self, raw: bytes, version: int | None = None) -> int:
-        """Publish a configuration document and return its version."""
-        return self.values[CONFIG].put(raw, version)
+        """Publish a configuration document and return its version.
+
+        Without `version` it is the one that stands in the document, else the next.
+        """
+        chosen = version if version is not None else read_version(raw)
+        return self.values[CONFIG].put(raw, chosen)
 
     def put_vms(self, vms: VmList) -> int:
         """Publish a list of VMs under its own version."""
@@ -174,8 +178,8 @@
     def _control_put(self, resource: str, request: Request) -> Response:
         version = request.query.get("version")
         chosen = int(version) if version else None
-        if resource == VMS and chosen is None:
-            chosen = int(request.json()["version"])
+        if chosen is None:
+            chosen = read_version(bytes(request.body))
         return respond_json({"version": self.values[resource].put(bytes(request.body), chosen)})
 
     def _control_fault(self, request: Request) -> Response:
@@ -240,6 +244,15 @@
         return
 
 
+def read_version(raw: bytes) -> int | None:
+    """Return the version that stands in a JSON value, or None when there is none."""
+    try:
+        version = orjson.loads(raw)["version"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    return version if type(version) is int else None
+
+
 def render_vms(vms: VmList) -> bytes:
     """Return the list as the JSON that the platform publishes."""
     rows = [attrs.asdict(vm) | {"state": vm.state.value} for vm in vms]
@@ -262,7 +275,7 @@
         platform.put_document(document.read_bytes())
     if vms is not None:
         raw = vms.read_bytes()
-        platform.values[VMS].put(raw, int(orjson.loads(raw)["version"]))
+        platform.values[VMS].put(raw, read_version(raw))
     run_until_stopped(lambda: _start(platform, port))
 
 
