--- /dev/null
+++ b/libs/standins/src/wisteria_standins/load.py
@@ -0,0 +1,246 @@
+"""The load tool: open-loop and closed-loop generators over kept-open connections."""
+
+import asyncio
+import itertools
+import random
+import time
+import uuid
+from pathlib import Path
+from typing import Annotated
+
+import attrs
+import cattrs
+import orjson
+import typer
+
+from .client import Answer, Call, Client
+from .const import HEADER_RESULT, HEADER_RUN, MS_PER_S
+from .load_spec import ClosedLoop, Flow, LoadSpec, OpenLoop, Phase, Target
+from .process import run_main
+from .report import render_table
+from .results import FAILED, OK, REFUSED, TIMEOUT, WRONG, LoadResults, Outcome
+
+_RESULT = HEADER_RESULT.decode()
+_RUN = HEADER_RUN.decode()
+_LATE_MS = 20
+_MAX_RETRY_AFTER_S = 30.0
+
+
+@attrs.define
+class _Request:
+    """One request with its tries."""
+
+    flow: Flow
+    number: int
+    phase: str
+    arrived_s: float
+    key: str = ""
+
+    def make_call(self) -> Call:
+        """Return the call of each try."""
+        flow = self.flow
+        path = flow.path.replace("{n}", str(self.number))
+        if flow.echo:
+            path += f"{'&' if '?' in path else '?'}echo={self.number}"
+        headers: list[tuple[str, str]] = []
+        if flow.key:
+            headers.append(("Authorization", f"Bearer {flow.key}"))
+        if flow.deadline_ms is not None:
+            headers.append(("Wisteria-Deadline-Ms", str(flow.deadline_ms)))
+        if flow.with_idempotency_key:
+            headers.append(("Idempotency-Key", self.key))
+        wants_digest = bool(flow.expected_digest)
+        return Call(flow.method, path, tuple(headers), flow.body, with_digest=wants_digest)
+
+    def classify(self, answer: Answer) -> str:
+        """Return how a try ended."""
+        flow = self.flow
+        if answer.error == "timeout":
+            return TIMEOUT
+        if answer.error or not answer.whole:
+            return FAILED
+        if answer.status >= 400:
+            return REFUSED if _RESULT in answer.headers else FAILED
+        if flow.expected_bytes is not None and answer.length != flow.expected_bytes:
+            return WRONG
+        if flow.expected_digest and answer.digest != flow.expected_digest:
+            return WRONG
+        if flow.echo and f'"echo":"{self.number}"'.encode() not in answer.body:
+            return WRONG
+        return OK
+
+
+class Load:
+    """One run of a load.
+
+    Parameters
+    ----------
+    spec : LoadSpec
+        What to offer.
+    """
+
+    def __init__(self, spec: LoadSpec) -> None:
+        self.spec = spec
+        self.results = LoadResults()
+        self._rng = random.Random(spec.seed)
+        self._clients = [
+            Client(target.port, target.host, spec.max_connections) for target in spec.targets
+        ]
+        self._next_client = itertools.cycle(self._clients)
+        self._weights = [flow.weight for flow in spec.flows]
+        self._numbers = itertools.count()
+        self._started_s = 0.0
+
+    async def async_run(self) -> LoadResults:
+        """Offer the load, wait for the last answer and return the results."""
+        self._started_s = time.perf_counter()
+        try:
+            match self.spec.loop:
+                case OpenLoop() as loop:
+                    await self._run_open(loop)
+                case ClosedLoop() as loop:
+                    await self._run_closed(loop)
+        finally:
+            for client in self._clients:
+                client.close()
+        self.results.duration_s = self._elapsed_s()
+        return self.results
+
+    def _elapsed_s(self) -> float:
+        return time.perf_counter() - self._started_s
+
+    def _draw_request(self, phase: str, arrived_s: float) -> _Request:
+        flow = self._rng.choices(self.spec.flows, self._weights)[0]
+        key = str(uuid.UUID(int=_make_uuid7(self._rng))) if flow.with_idempotency_key else ""
+        return _Request(flow, next(self._numbers), phase, arrived_s, key)
+
+    async def _run_open(self, loop: OpenLoop) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for at_s, phase in loop.draw_arrivals(self._rng):
+                wait_s = at_s - self._elapsed_s()
+                if wait_s > 0:
+                    await asyncio.sleep(wait_s)
+                lag_ms = (self._elapsed_s() - at_s) * MS_PER_S
+                self.results.max_lag_ms = max(self.results.max_lag_ms, lag_ms)
+                tasks.create_task(self._serve(self._draw_request(phase, at_s)))
+
+    async def _run_closed(self, loop: ClosedLoop) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(loop.clients):
+                tasks.create_task(self._run_client(loop))
+
+    async def _run_client(self, loop: ClosedLoop) -> None:
+        while self._elapsed_s() < loop.duration_s:
+            await self._serve(self._draw_request("steady", self._elapsed_s()))
+            pause_s = loop.draw_pause_s(self._rng)
+            if pause_s:
+                await asyncio.sleep(pause_s)
+
+    async def _serve(self, request: _Request) -> None:
+        """Make a request's tries until one succeeds, its deadline passes or none is left."""
+        flow = request.flow
+        call = request.make_call()
+        attempts = 0
+        while True:
+            attempts += 1
+            if attempts == 1 and self.spec.latency_from_send:
+                request.arrived_s = self._elapsed_s()
+            answer = await next(self._next_client).async_call(call, self._left_ms(request))
+            kind = request.classify(answer)
+            if kind == OK or attempts >= flow.retry.attempts:
+                break
+            await asyncio.sleep(_draw_pause_s(flow, answer))
+            left_ms = self._left_ms(request)
+            if left_ms is not None and left_ms <= 0:
+                break
+        self._record(request, answer, kind, attempts)
+
+    def _left_ms(self, request: _Request) -> int | None:
+        deadline_ms = request.flow.deadline_ms
+        if deadline_ms is None:
+            return None
+        spent_ms = (self._elapsed_s() - request.arrived_s) * MS_PER_S
+        return max(0, int(deadline_ms + _LATE_MS - spent_ms))
+
+    def _record(self, request: _Request, answer: Answer, kind: str, attempts: int) -> None:
+        now_s = self._elapsed_s()
+        outcome = Outcome(
+            kind,
+            answer.headers.get(_RESULT, str(answer.status)),
+            answer.headers.get(_RUN, ""),
+            attempts,
+            (now_s - request.arrived_s) * MS_PER_S,
+            "retry-after" in answer.headers,
+        )
+        flow = request.flow
+        step = self.spec.find_step(now_s)
+        self.results.add(flow.name, flow.account, flow.priority, request.phase, step, outcome)
+
+
+def _draw_pause_s(flow: Flow, answer: Answer) -> float:
+    pause_s = flow.retry.delay_ms / MS_PER_S
+    told = answer.headers.get("retry-after", "")
+    if flow.retry.heeds_retry_after and told.isdigit():
+        pause_s = max(pause_s, min(float(told), _MAX_RETRY_AFTER_S))
+    return pause_s
+
+
+def _make_uuid7(rng: random.Random) -> int:
+    """Return the number of a UUIDv7 born now, with seeded random bits."""
+    born_ms = time.time_ns() // 1_000_000
+    high = (born_ms << 16) | 0x7000 | rng.getrandbits(12)
+    return (high << 64) | (0b10 << 62) | rng.getrandbits(62)
+
+
+async def async_run_load(spec: LoadSpec) -> LoadResults:
+    """Offer a load and return its results."""
+    return await Load(spec).async_run()
+
+
+def main(
+    target: Annotated[
+        list[str], typer.Option("--target", help="HOST:PORT that takes calls; may be repeated.")
+    ],
+    path: Annotated[str, typer.Option(help="Path; {n} is the request's number.")] = "/",
+    method: Annotated[str, typer.Option(help="HTTP method.")] = "GET",
+    key: Annotated[str, typer.Option(help="Key to present.", envvar="WISTERIA_KEY")] = "",
+    rate: Annotated[float, typer.Option(help="Open loop: calls/s.")] = 100.0,
+    arrivals: Annotated[str, typer.Option(help="Open loop: poisson or constant.")] = "poisson",
+    clients: Annotated[int, typer.Option(help="Closed loop with so many clients, if not 0.")] = 0,
+    seconds: Annotated[float, typer.Option(help="Length of the load.")] = 5.0,
+    deadline_ms: Annotated[int, typer.Option(help="Deadline of each request.")] = 10_000,
+    flows: Annotated[
+        Path | None, typer.Option(help="JSON list of flows, in place of path, method and key.")
+    ] = None,
+    seed: Annotated[int, typer.Option(help="Seed of arrivals and mix.")] = 1,
+) -> None:
+    """Offer a load and print a table; the last line is one JSON object.
+
+    Example: python -m wisteria_standins.load --target 127.0.0.1:8001 --path /stalls/{n}
+    --rate 115 --seconds 10
+    """
+    chosen: tuple[Flow, ...] = (Flow("calls", path, method, key=key, deadline_ms=deadline_ms),)
+    if flows is not None:
+        rows = orjson.loads(flows.read_bytes())
+        chosen = cattrs.Converter(forbid_extra_keys=True).structure(rows, tuple[Flow, ...])
+    loop: OpenLoop | ClosedLoop = OpenLoop((Phase(seconds, rate),), arrivals)
+    if clients:
+        loop = ClosedLoop(clients, seconds)
+    spec = LoadSpec(tuple(_parse_target(one) for one in target), chosen, loop, seed=seed)
+    results = run_main(async_run_load(spec))
+    typer.echo(render_table(results))
+    typer.echo(orjson.dumps(results.describe()).decode())
+
+
+def _parse_target(text: str) -> Target:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise typer.BadParameter(f"{text!r} is not HOST:PORT")
+    try:
+        return Target(int(port), host.strip("[]"))
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from error
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/libs/standins/src/wisteria_standins/process.py
+++ b/libs/standins/src/wisteria_standins/process.py
@@ -3,13 +3,15 @@
 import asyncio
 import os
 import signal
-from collections.abc import Awaitable, Callable
-from typing import Protocol
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol, TypeVar
 
 os.environ.setdefault("UV_USE_IO_URING", "0")
 
 import uvloop
 
+Result = TypeVar("Result")
+
 
 class Standin(Protocol):
     """What a stand-in's main object offers."""
@@ -23,6 +25,11 @@
     uvloop.run(_run(start))
 
 
+def run_main(main: Coroutine[Any, Any, Result]) -> Result:
+    """Run a coroutine on a new loop and return its result."""
+    return uvloop.run(main)
+
+
 async def _run(start: Callable[[], Awaitable[Standin]]) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/libs/standins/src/wisteria_standins/results.py
@@ -0,0 +1,165 @@
+"""Results of a load: counts and latencies by flow, account, priority, phase and time."""
+
+from collections import Counter, defaultdict
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 3
+_US_PER_MS = 1_000.0
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+OK = "ok"
+REFUSED = "refused"
+FAILED = "failed"
+TIMEOUT = "timeout"
+WRONG = "wrong"
+
+
+def make_histogram() -> Any:
+    """Return an empty histogram of microseconds with three significant digits."""
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+
+
+@attrs.frozen
+class Outcome:
+    """How one request ended, its tries included.
+
+    Parameters
+    ----------
+    kind : str
+        ``ok``, ``refused`` (a numbered result came back), ``failed``, ``timeout`` or
+        ``wrong`` (an answer that is not whole or not the request's own).
+    result : str
+        Numbered result code or HTTP status of the last try.
+    run_state : str
+        What the last answer said of the run.
+    attempts : int
+        Tries that the client made.
+    latency_ms : float
+        Time from the arrival to the end, in milliseconds.
+    retry_after : bool
+        Whether the last answer said when to come back.
+    """
+
+    kind: str
+    result: str
+    run_state: str
+    attempts: int
+    latency_ms: float
+    retry_after: bool
+
+
+@attrs.define
+class Group:
+    """Counts and latencies of the requests of one group."""
+
+    offered: int = 0
+    attempts: int = 0
+    kinds: Counter[str] = attrs.field(factory=Counter)
+    results: Counter[str] = attrs.field(factory=Counter)
+    run_states: Counter[str] = attrs.field(factory=Counter)
+    latencies: Any = attrs.field(factory=make_histogram)
+
+    def add(self, outcome: Outcome) -> None:
+        """Add one request; latencies are kept of whole answers."""
+        self.offered += 1
+        self.attempts += outcome.attempts
+        self.kinds[outcome.kind] += 1
+        self.results[outcome.result] += 1
+        self.run_states[outcome.run_state] += 1
+        if outcome.kind == OK:
+            self.latencies.record_value(max(_LOWEST_US, int(outcome.latency_ms * _US_PER_MS)))
+
+    @property
+    def success_ratio(self) -> float:
+        """Return the share of the requests that got their whole answer; 1 when none was made."""
+        return self.kinds[OK] / self.offered if self.offered else 1.0
+
+    def latency_ms(self, percentile: float) -> float:
+        """Return a percentile of the latencies of whole answers, in milliseconds."""
+        return float(self.latencies.get_value_at_percentile(percentile)) / _US_PER_MS
+
+    def describe(self) -> dict[str, Any]:
+        """Return the group as plain data."""
+        return {
+            "offered": self.offered,
+            "attempts": self.attempts,
+            "success_ratio": round(self.success_ratio, 6),
+            "kinds": dict(self.kinds),
+            "results": dict(self.results),
+            "run_states": dict(self.run_states),
+            "latency_ms": {f"p{rank:g}": self.latency_ms(rank) for rank in PERCENTILES},
+        }
+
+
+@attrs.define
+class LoadResults:
+    """Everything that a load gave.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time from the first arrival to the last end, in seconds.
+    total : Group
+        All requests.
+    by_flow, by_account, by_priority, by_phase : dict
+        Groups by name.
+    steps : dict
+        Whole answers by step of the time line (the time at which they ended).
+    max_lag_ms : float
+        How late the latest request was sent, in milliseconds: above a few, the generator
+        was too slow for the load.
+    """
+
+    duration_s: float = 0.0
+    total: Group = attrs.field(factory=Group)
+    by_flow: dict[str, Group] = attrs.field(factory=lambda: defaultdict(Group))
+    by_account: dict[str, Group] = attrs.field(factory=lambda: defaultdict(Group))
+    by_priority: dict[str, Group] = attrs.field(factory=lambda: defaultdict(Group))
+    by_phase: dict[str, Group] = attrs.field(factory=lambda: defaultdict(Group))
+    steps: Counter[int] = attrs.field(factory=Counter)
+    max_lag_ms: float = 0.0
+
+    def add(
+        self, flow: str, account: str, priority: str, phase: str, step: int, outcome: Outcome
+    ) -> None:
+        """Add one request to each of its groups."""
+        groups = (
+            self.total,
+            self.by_flow[flow],
+            self.by_account[account],
+            self.by_priority[priority],
+            self.by_phase[phase],
+        )
+        for group in groups:
+            group.add(outcome)
+        if outcome.kind == OK:
+            self.steps[step] += 1
+
+    @property
+    def goodput_per_s(self) -> float:
+        """Return whole answers per second over the load's duration."""
+        return self.total.kinds[OK] / self.duration_s if self.duration_s else 0.0
+
+    def describe(self) -> dict[str, Any]:
+        """Return the results as plain data."""
+        named = {
+            "by_flow": self.by_flow,
+            "by_account": self.by_account,
+            "by_priority": self.by_priority,
+            "by_phase": self.by_phase,
+        }
+        return {
+            "duration_s": round(self.duration_s, 3),
+            "goodput_per_s": round(self.goodput_per_s, 3),
+            "max_lag_ms": round(self.max_lag_ms, 3),
+            "total": self.total.describe(),
+            **{
+                title: {name: group.describe() for name, group in sorted(groups.items())}
+                for title, groups in named.items()
+            },
+        }
