Run the whole path thin, as separate processes

Ruled out: relying on isinstance of asyncio.Transport (uvloop's TLS transport is none: the first run died in connection_made).

Before: libraries without a daemon.

--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -0,0 +1,45 @@
+"""The port for callers: accepts connections and starts a task for each request."""
+
+import asyncio
+
+import attrs
+from anyio.abc import TaskGroup
+
+from wisteria_wire import HttpRequest, HttpServerConnection, make_caller_context
+
+from .entry import EntryPort
+from .settings import TlsSettings
+
+
+@attrs.define(eq=False)
+class CallerPort:
+    """Listens for callers and for the backend server's child calls."""
+
+    entry: EntryPort
+    tasks: TaskGroup
+    tls: TlsSettings
+    _connections: set[HttpServerConnection] = attrs.field(factory=set)
+    _server: asyncio.Server | None = None
+
+    async def async_setup(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        context = None
+        if self.tls.caller_certificate is not None and self.tls.caller_key is not None:
+            context = make_caller_context(self.tls.caller_certificate, self.tls.caller_key)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_connection, host, port, ssl=context
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def async_unload(self) -> None:
+        """Stop listening and close the connections once their answers are sent."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_when_idle()
+
+    def _make_connection(self) -> HttpServerConnection:
+        return HttpServerConnection(self._start, self._connections)
+
+    def _start(self, request: HttpRequest) -> None:
+        self.tasks.start_soon(self.entry.handle, request)
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 
+from wisteria_routing import RetryAllowance
 from wisteria_wire import CallHead
 
 TOKEN_BYTES = 16
@@ -20,10 +21,8 @@
         Unguessable name by which the backend server refers to the call.
     deadline_at_ms : int
         Deadline on this daemon's clock, in milliseconds.
-    allowance : int
-        Retries not yet lent to child calls or spent.
-    spent : int
-        Retries that child calls have spent.
+    allowance : RetryAllowance
+        Retries that were lent to the call, for it to lend to child calls.
     services : set of str
         Services that the call has used through child calls, at any depth.
     children : set of CancelScope
@@ -33,11 +32,14 @@
     token: str
     head: CallHead
     deadline_at_ms: int
-    allowance: int
-    spent: int = 0
+    allowance: RetryAllowance
     services: set[str] = attrs.field(factory=set)
     children: set[anyio.CancelScope] = attrs.field(factory=set)
 
+    def count_spent(self) -> int:
+        """Return the retries spent so far; what is lent to a child call counts as spent."""
+        return self.head.allowance - self.allowance.left
+
 
 @attrs.define
 class CallRegistry:
@@ -51,7 +53,7 @@
     def add(self, head: CallHead, deadline_at_ms: int) -> RunningCall:
         """Register a call that is about to run and return its record."""
         token = secrets.token_urlsafe(TOKEN_BYTES)
-        call = RunningCall(token, head, deadline_at_ms, head.allowance)
+        call = RunningCall(token, head, deadline_at_ms, RetryAllowance(head.allowance))
         self._calls[token] = call
         return call
 
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/control/__init__.py
@@ -0,0 +1,6 @@
+"""Control messages between daemons: their numbers and their encoding."""
+
+from .codec import ControlFault, decode_control, encode_control
+from .kinds import KINDS, NUMBERS
+
+__all__ = ["KINDS", "NUMBERS", "ControlFault", "decode_control", "encode_control"]
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/control/kinds.py
@@ -0,0 +1,32 @@
+"""Control messages between daemons, and the numbers under which they travel."""
+
+from typing import Any
+
+from wisteria_limits import BorrowReply, BorrowRequest
+from wisteria_ownership import (
+    Claim,
+    ClaimReply,
+    Farewell,
+    HandOver,
+    HandOverReply,
+    Hello,
+    HelloReply,
+    Offer,
+    OfferReply,
+)
+
+# Numbers are never reused; the fields of a message only grow at the end.
+KINDS: dict[int, type[Any]] = {
+    1: BorrowRequest,
+    2: BorrowReply,
+    10: Hello,
+    11: HelloReply,
+    12: Claim,
+    13: ClaimReply,
+    14: Offer,
+    15: OfferReply,
+    16: HandOver,
+    17: HandOverReply,
+    18: Farewell,
+}
+NUMBERS: dict[type[Any], int] = {cls: number for number, cls in KINDS.items()}
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -0,0 +1,92 @@
+"""Sends control messages to other daemons and hands arriving ones to their owners."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from anyio.abc import TaskGroup
+
+from wisteria_core import Refusal, Vm, VmId
+from wisteria_wire import Link, LinkPool
+
+from .codec import ControlFault, decode_control, encode_control
+from .kinds import NUMBERS
+
+_LOGGER = logging.getLogger(__name__)
+
+Handler = Callable[[VmId, int, Any], None]
+
+
+@attrs.define(eq=False)
+class ControlPlane:
+    """The control messages of one daemon; losing one is tolerated by every protocol on it.
+
+    Parameters
+    ----------
+    find_vm : callable
+        Returns a VM of the list in force, or None.
+    """
+
+    own_vm: VmId
+    incarnation: int
+    links: LinkPool
+    tasks: TaskGroup
+    find_vm: Callable[[VmId], Vm | None]
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    counts: Counter[str] = attrs.field(factory=Counter)
+    _handlers: dict[type[Any], Handler] = attrs.field(factory=dict)
+
+    def register(self, handler: Handler, *kinds: type[Any]) -> None:
+        """Have messages of these classes handed to ``handler(sender, incarnation, message)``."""
+        for kind in kinds:
+            self._handlers[kind] = handler
+
+    def send(self, vm_id: VmId, message: Any) -> None:
+        """Send a message to the daemon of a VM; to the own one it goes through the loop."""
+        if vm_id == self.own_vm:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._dispatch, vm_id, self.incarnation, message)
+            return
+        number = NUMBERS[type(message)]
+        payload = encode_control(message)
+        link = self.links.find(vm_id)
+        if link is not None:
+            self._write(link, number, payload)
+            return
+        vm = self.find_vm(vm_id)
+        if vm is None:
+            self.counts["unknown_vm"] += 1
+            return
+        self.tasks.start_soon(self._dial_and_send, vm, number, payload)
+
+    def handle(self, link: Link, number: int, payload: bytes) -> None:
+        """Take in the bytes of a control message; garbled ones close the link."""
+        self.received_bytes += len(payload)
+        message = decode_control(number, payload)
+        if isinstance(message, ControlFault):
+            self.counts[message.name.lower()] += 1
+            if message is ControlFault.GARBLED:
+                link.close(message.value)
+            return
+        assert link.peer is not None
+        self._dispatch(link.peer.vm_id, link.peer.incarnation, message)
+
+    def _dispatch(self, sender: VmId, incarnation: int, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, incarnation, message)
+
+    async def _dial_and_send(self, vm: Vm, number: int, payload: bytes) -> None:
+        link = await self.links.obtain(vm)
+        if isinstance(link, Refusal):
+            self.counts["unreachable"] += 1
+            return
+        self._write(link, number, payload)
+
+    def _write(self, link: Link, number: int, payload: bytes) -> None:
+        self.sent_bytes += len(payload)
+        link.send_control(number, payload)
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -0,0 +1,385 @@
+"""The entry side: takes a caller's request, decides whether it may run, sends it on."""
+
+import logging
+import secrets
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from wisteria_admission import ChainLevels, shed_rank
+from wisteria_config import Document, Route
+from wisteria_core import Clock, Refusal, ResultCode, RunState, http_status
+from wisteria_limits import Admitted
+from wisteria_routing import RetryAllowance
+from wisteria_wire import AnswerHead, CallHead, HttpRequest
+
+from .answers import (
+    encode_problem,
+    head_to_refusal,
+    make_answer_headers,
+    make_problem_headers,
+)
+from .calls import CallRegistry
+from .forward import Forwarded, Forwarder
+from .headers import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    filter_request_headers,
+    find_header,
+)
+from .identify import Caller, identify_caller
+from .logs import ATTR_REQUEST_ID
+from .metrics import Metrics
+from .once import OnceRouter
+from .rates import Rates
+
+_LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_REQUEST_ID_BYTES = 12
+_MAX_REQUEST_ID_CHARS = 128
+_MAX_IDEMPOTENCY_KEY_CHARS = 255
+_MAX_HOPS = 32
+_NO_ROUTE = "none"
+_NO_ACCOUNT = "none"
+
+NO_DOCUMENT = Refusal(
+    ResultCode.NOT_READY, "no configuration is in force yet", retry_after_ms=1_000
+)
+STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
+
+
+@attrs.frozen(eq=False)
+class Plan:
+    """A request that may run: for whom, under which policy, until when."""
+
+    request: HttpRequest
+    request_id: str
+    route: Route
+    caller: Caller
+    deadline_at_ms: int
+    idempotency_key: str
+    document: Document
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+
+@attrs.define(eq=False)
+class EntryPort:
+    """Serves callers, and the backend server's child calls.
+
+    Parameters
+    ----------
+    read_document : callable
+        Returns the configuration in force, or None before the first one.
+    check_ready : callable
+        Returns the refusal of a daemon that may not take calls yet, or None.
+    """
+
+    registry: CallRegistry
+    forwarder: Forwarder
+    once: OnceRouter
+    rates: Rates
+    levels: ChainLevels
+    metrics: Metrics
+    clock: Clock
+    read_document: Callable[[], Document | None]
+    check_ready: Callable[[], Refusal | None]
+    is_stopping: bool = False
+    _open: set[Plan] = attrs.field(factory=set)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not been answered to the end."""
+        return len(self._open)
+
+    async def handle(self, request: HttpRequest) -> None:
+        """Serve one request to its end; a caller that has gone cancels it."""
+        started_ms = self.clock.now_ms()
+        request_id = _read_request_id(request)
+        plan = self._plan(started_ms, request, request_id)
+        if isinstance(plan, Refusal):
+            self._answer_refusal(request, request_id, plan)
+            self._note(started_ms, request_id, None, plan.code)
+            return
+        scope = plan.scope
+        scope.deadline = self._scope_deadline(started_ms, plan)
+        request.exchange.on_cancel = scope.cancel
+        self._open.add(plan)
+        if plan.caller.parent is not None:
+            plan.caller.parent.children.add(scope)
+        code = ResultCode.CANCELLED
+        try:
+            with scope:
+                code = await self._serve(plan)
+        finally:
+            self._open.discard(plan)
+            if plan.caller.parent is not None:
+                plan.caller.parent.children.discard(scope)
+        if scope.cancelled_caught:
+            code = self._end_early(plan)
+        self._note(started_ms, request_id, plan, code)
+
+    def end_withdrawn(self, document: Document) -> int:
+        """End the requests whose key no longer stands and return how many there were."""
+        ended = 0
+        for plan in list(self._open):
+            caller = plan.caller
+            if caller.key_id and not document.holds_key(caller.key_id, caller.key_digest):
+                plan.scope.cancel()
+                ended += 1
+        return ended
+
+    def cancel_all(self) -> int:
+        """End every request at once and return how many there were."""
+        for plan in list(self._open):
+            plan.scope.cancel()
+        return len(self._open)
+
+    # planning
+
+    def _plan(self, now_ms: int, request: HttpRequest, request_id: str) -> Plan | Refusal:
+        if request.fault is not ResultCode.OK:
+            return Refusal(request.fault, "the request can't be read as HTTP/1.1 within bounds")
+        document = self.read_document()
+        if document is None:
+            return NO_DOCUMENT
+        path = request.target.partition("?")[0]
+        method = "GET" if request.method == "HEAD" else request.method
+        route = document.match_route(request.method, path) or document.match_route(method, path)
+        if route is None:
+            return Refusal(ResultCode.UNKNOWN_ROUTE, "no route matches the method and path")
+        caller = identify_caller(document, self.registry, route, request)
+        if isinstance(caller, Refusal):
+            return caller
+        if caller.parent is None:
+            refusal = STOPPING if self.is_stopping else self.check_ready()
+            if refusal is not None:
+                return refusal
+        elif caller.parent.head.hops >= _MAX_HOPS:
+            return Refusal(ResultCode.BAD_REQUEST, f"a chain is at most {_MAX_HOPS} calls deep")
+        deadline_at_ms = self._read_deadline(now_ms, request, route, caller)
+        if isinstance(deadline_at_ms, Refusal):
+            return deadline_at_ms
+        key = _read_idempotency_key(request, route)
+        if isinstance(key, Refusal):
+            return key
+        return Plan(request, request_id, route, caller, deadline_at_ms, key, document)
+
+    @staticmethod
+    def _read_deadline(
+        now_ms: int, request: HttpRequest, route: Route, caller: Caller
+    ) -> int | Refusal:
+        """Return the deadline on this daemon's clock; a child call can't outlast its parent."""
+        text = request.find_header(HEADER_DEADLINE_MS)
+        wanted_ms = route.deadline_ms
+        if text is not None:
+            if not text.isascii() or not text.isdigit() or int(text) == 0:
+                return Refusal(
+                    ResultCode.BAD_DEADLINE, f"{HEADER_DEADLINE_MS} is not a number of ms above 0"
+                )
+            wanted_ms = min(wanted_ms, int(text))
+        deadline_at_ms = now_ms + wanted_ms
+        if caller.parent is not None:
+            deadline_at_ms = min(deadline_at_ms, caller.parent.deadline_at_ms)
+        return deadline_at_ms
+
+    @staticmethod
+    def _scope_deadline(now_ms: int, plan: Plan) -> float:
+        return anyio.current_time() + (plan.deadline_at_ms - now_ms) / _MS_PER_S
+
+    # serving
+
+    async def _serve(self, plan: Plan) -> ResultCode:
+        if plan.caller.parent is not None:
+            return await self._run(plan, plan.caller.parent.allowance, plan.caller.parent.head.rank)
+        now_ms = self.clock.now_ms()
+        account = plan.caller.account
+        priority = plan.route.priority
+        excess_milli = self.levels.excess_milli(now_ms, account, priority, plan.route.id)
+        rank = shed_rank(priority, excess_milli, plan.request_id)
+        refusal = self.levels.should_shed(now_ms, rank, plan.route.id, account, priority)
+        if refusal is not None:
+            return self._answer_refusal(plan.request, plan.request_id, refusal)
+        admitted = await self.rates.admit(account)
+        if isinstance(admitted, Refusal):
+            return self._answer_refusal(plan.request, plan.request_id, admitted)
+        allowance = RetryAllowance(plan.route.retry_allowance)
+        return await self._run(plan, allowance, rank, admitted)
+
+    async def _run(
+        self,
+        plan: Plan,
+        allowance: RetryAllowance,
+        rank: int,
+        admitted: Admitted | None = None,
+    ) -> ResultCode:
+        head = self._make_head(plan, rank)
+        if plan.route.repeatable:
+            forwarded = await self.forwarder.forward(head, plan.deadline_at_ms, allowance)
+        else:
+            forwarded = await self.once.forward(head, plan.deadline_at_ms, allowance)
+        self._learn(plan, forwarded.head)
+        if admitted is not None and forwarded.head.run_state is RunState.NOT_RUN:
+            self.rates.refund(admitted)
+        try:
+            return await self._answer(plan, forwarded)
+        finally:
+            if forwarded.reply is not None:
+                forwarded.reply.cancel()
+
+    def _make_head(self, plan: Plan, rank: int) -> CallHead:
+        request, route, caller = plan.request, plan.route, plan.caller
+        parent = caller.parent.head if caller.parent is not None else None
+        return CallHead(
+            request_id=parent.request_id if parent else plan.request_id,
+            route_id=route.id,
+            service=route.service,
+            method=request.method,
+            target=request.target,
+            headers=filter_request_headers(request.headers),
+            account=caller.account,
+            key_id=caller.key_id,
+            key_digest=caller.key_digest,
+            priority=parent.priority if parent else route.priority,
+            rank=rank,
+            remaining_ms=plan.deadline_at_ms - self.clock.now_ms(),
+            allowance=0,
+            idempotency_key=plan.idempotency_key,
+            config_version=plan.document.version,
+            body=request.body,
+            hops=parent.hops + 1 if parent else 0,
+            long=route.long_download,
+            stall_ms=route.stall_ms,
+            weight=caller.weight,
+            repeatable=route.repeatable,
+        )
+
+    def _learn(self, plan: Plan, head: AnswerHead) -> None:
+        """Keep the admission levels that came with an answer."""
+        if not head.levels:
+            return
+        now_ms = self.clock.now_ms()
+        self.levels.note_answer(
+            now_ms, plan.route.id, plan.caller.account, plan.route.priority, head.levels
+        )
+        if plan.caller.parent is not None:
+            plan.caller.parent.services.update(level.service for level in head.levels)
+
+    # answering
+
+    async def _answer(self, plan: Plan, forwarded: Forwarded) -> ResultCode:
+        head = forwarded.head
+        if head.code is not ResultCode.OK:
+            return self._answer_refusal(plan.request, plan.request_id, head_to_refusal(head))
+        head = attrs.evolve(head, spent=forwarded.retries)
+        headers = make_answer_headers(head, plan.request_id)
+        if head.complete:
+            plan.request.exchange.answer(head.status, headers, head.body)
+            return ResultCode.OK
+        return await self._stream(plan, forwarded, headers)
+
+    async def _stream(
+        self, plan: Plan, forwarded: Forwarded, headers: tuple[str, ...]
+    ) -> ResultCode:
+        assert forwarded.reply is not None
+        exchange = plan.request.exchange
+        length = find_header(headers, "content-length")
+        exchange.start(
+            forwarded.head.status, _without_length(headers), int(length) if length else None
+        )
+        stall_s = plan.route.stall_ms / _MS_PER_S
+        scope = plan.scope
+        while True:
+            if plan.route.long_download:
+                scope.deadline = anyio.current_time() + stall_s
+            chunk = await forwarded.reply.body.receive()
+            if chunk is None:
+                exchange.finish()
+                return ResultCode.OK
+            if isinstance(chunk, Refusal):
+                exchange.abort()
+                return chunk.code
+            if not await exchange.send(chunk):
+                return ResultCode.CANCELLED
+
+    def _answer_refusal(
+        self, request: HttpRequest, request_id: str, refusal: Refusal
+    ) -> ResultCode:
+        headers = make_problem_headers(refusal, request_id)
+        body = encode_problem(refusal, request_id)
+        request.exchange.answer(http_status(refusal.code), headers, body)
+        return refusal.code
+
+    def _end_early(self, plan: Plan) -> ResultCode:
+        """End a request that was cancelled from inside: deadline, withdrawn key, stop."""
+        exchange = plan.request.exchange
+        if exchange.is_cancelled:
+            return ResultCode.CANCELLED
+        refusal = self._explain_end(plan)
+        if exchange.started:
+            exchange.abort()
+            return refusal.code
+        return self._answer_refusal(plan.request, plan.request_id, refusal)
+
+    def _explain_end(self, plan: Plan) -> Refusal:
+        document = self.read_document()
+        caller = plan.caller
+        if (
+            document is not None
+            and caller.key_id
+            and not document.holds_key(caller.key_id, caller.key_digest)
+        ):
+            return Refusal(ResultCode.KEY_WITHDRAWN, "the key has been withdrawn", RunState.UNKNOWN)
+        if self.clock.now_ms() >= plan.deadline_at_ms:
+            return Refusal(ResultCode.DEADLINE_PASSED, "the deadline has passed", RunState.UNKNOWN)
+        return Refusal(ResultCode.CANCELLED, "the request was cancelled", RunState.UNKNOWN)
+
+    def _note(self, started_ms: int, request_id: str, plan: Plan | None, code: ResultCode) -> None:
+        duration_ms = self.clock.now_ms() - started_ms
+        route = plan.route.id if plan else _NO_ROUTE
+        account = plan.caller.account if plan else _NO_ACCOUNT
+        self.metrics.count_call(route, account, str(int(code)), duration_ms)
+        if _LOGGER.isEnabledFor(logging.DEBUG):
+            extra = {
+                ATTR_REQUEST_ID: request_id,
+                "route": route,
+                "account": account,
+                "code": int(code),
+                "duration_ms": duration_ms,
+            }
+            _LOGGER.debug("call_ended", extra=extra)
+
+
+def _read_request_id(request: HttpRequest) -> str:
+    """Return the caller's request id, or a new one when it gave none that is usable."""
+    text = request.find_header(HEADER_REQUEST_ID) or ""
+    if 0 < len(text) <= _MAX_REQUEST_ID_CHARS and text.isascii() and text.isprintable():
+        return text
+    return secrets.token_hex(_REQUEST_ID_BYTES)
+
+
+def _read_idempotency_key(request: HttpRequest, route: Route) -> str | Refusal:
+    if request.count_header(HEADER_IDEMPOTENCY_KEY) > 1:
+        return Refusal(ResultCode.BAD_REQUEST, "Idempotency-Key occurs more than once")
+    key = request.find_header(HEADER_IDEMPOTENCY_KEY) or ""
+    if len(key) > _MAX_IDEMPOTENCY_KEY_CHARS:
+        return Refusal(
+            ResultCode.BAD_REQUEST,
+            f"Idempotency-Key is longer than {_MAX_IDEMPOTENCY_KEY_CHARS} characters",
+        )
+    if not key and not route.repeatable:
+        return Refusal(
+            ResultCode.IDEMPOTENCY_KEY_REQUIRED,
+            "the route must not run twice: send an Idempotency-Key",
+        )
+    return key
+
+
+def _without_length(headers: tuple[str, ...]) -> tuple[str, ...]:
+    pairs = iter(headers)
+    kept: list[str] = []
+    for name, value in zip(pairs, pairs, strict=True):
+        if name != "content-length":
+            kept += (name, value)
+    return tuple(kept)
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -0,0 +1,82 @@
+"""What this daemon knows of the other VMs: addresses, choosers, retry budgets."""
+
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from wisteria_config import Document
+from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState
+from wisteria_routing import Candidate, Chooser, RetryBudget, RetryConfig
+
+_MILLI = 1_000
+
+
+@attrs.define(eq=False)
+class FleetView:
+    """The list of VMs and the state that is kept for each service.
+
+    Parameters
+    ----------
+    is_usable : callable
+        Whether membership takes a VM for reachable and not leaving.
+    is_connected : callable
+        Whether a link to a VM is open.
+    """
+
+    failure_domain: FailureDomain
+    random: Random
+    clock: Clock
+    is_usable: Callable[[VmId], bool]
+    is_connected: Callable[[VmId], bool]
+    vm_list: VmList | None = None
+    _vms: dict[VmId, Vm] = attrs.field(factory=dict)
+    _choosers: dict[str, Chooser] = attrs.field(factory=dict)
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def find_vm(self, vm_id: VmId) -> Vm | None:
+        """Return a VM of the list in force."""
+        return self._vms.get(vm_id)
+
+    def find_chooser(self, service: str) -> Chooser | None:
+        """Return the chooser of a service that the list names."""
+        return self._choosers.get(service)
+
+    def find_budget(self, service: str) -> RetryBudget | None:
+        """Return the retry budget of a configured service."""
+        return self._budgets.get(service)
+
+    def apply_list(self, vm_list: VmList) -> None:
+        """Put a version of the list in force."""
+        self.vm_list = vm_list
+        self._vms = {vm.vm_id: vm for vm in vm_list}
+        services = {vm.service for vm in vm_list}
+        self._choosers = {
+            service: self._choosers.get(service) or Chooser(self.failure_domain, self.random)
+            for service in services
+        }
+        self.refresh()
+
+    def apply_document(self, document: Document) -> None:
+        """Put the retry budgets of a configuration version in force."""
+        earlier = self._budgets
+        self._budgets = {}
+        for service in document.services:
+            config = RetryConfig(ratio_milli=round(service.retry_ratio * _MILLI))
+            known = earlier.get(service.name)
+            if known is None or known.config != config:
+                known = RetryBudget(config)
+            self._budgets[service.name] = known
+
+    def refresh(self) -> None:
+        """Pass the present view of each VM to the choosers."""
+        if self.vm_list is None:
+            return
+        candidates: dict[str, list[Candidate]] = {service: [] for service in self._choosers}
+        for vm in self.vm_list:
+            usable = vm.state is VmState.LIVE and self.is_usable(vm.vm_id)
+            connected = self.is_connected(vm.vm_id)
+            candidates[vm.service].append(Candidate(vm.vm_id, vm.failure_domain, usable, connected))
+        now_ms = self.clock.now_ms()
+        for service, chooser in self._choosers.items():
+            chooser.update(now_ms, candidates[service])
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -0,0 +1,248 @@
+"""Sends a call on to a serving daemon, and again to another one where that is allowed."""
+
+import logging
+from collections.abc import Callable
+from random import Random
+
+import anyio
+import attrs
+
+from wisteria_core import Clock, Refusal, ResultCode, RunState, Vm, VmId
+from wisteria_routing import (
+    Attempt,
+    CallOutcome,
+    Chooser,
+    GiveUp,
+    Retry,
+    RetryAllowance,
+    RetryBudget,
+    ServerLoad,
+    decide_retry,
+    merge_run_states,
+)
+from wisteria_wire import AnswerHead, CallHead, LinkPool
+
+from .answers import head_to_refusal, refusal_to_head
+from .fleet import FleetView
+from .responders import LocalCall, Reply
+
+_LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+LOCAL_WINDOW_BYTES = 262_144
+
+
+@attrs.define(eq=False)
+class Forwarded:
+    """The outcome of a call that was sent on.
+
+    Parameters
+    ----------
+    head : AnswerHead
+        Of the backend server's answer, or of the final refusal.
+    reply : Reply or None
+        Carries the body; None for a refusal.
+    vm_id : VmId or None
+        Where the answer comes from.
+    retries : int
+        Attempts after the first, in the whole chain.
+    """
+
+    head: AnswerHead
+    reply: Reply | None
+    vm_id: VmId | None
+    retries: int = 0
+
+
+@attrs.define(eq=False)
+class Forwarder:
+    """Chooses servers, sends attempts, decides on retries.
+
+    Parameters
+    ----------
+    serve_locally : callable
+        Starts the serving side of this daemon for a local call.
+    """
+
+    fleet: FleetView
+    links: LinkPool
+    clock: Clock
+    random: Random
+    own_vm: VmId
+    serve_locally: Callable[[LocalCall, CallHead], None]
+
+    async def forward(
+        self,
+        head: CallHead,
+        deadline_at_ms: int,
+        allowance: RetryAllowance,
+        prefer: VmId | None = None,
+    ) -> Forwarded:
+        """Send a call until it is answered or given up.
+
+        Parameters
+        ----------
+        allowance : RetryAllowance
+            What the caller of this call holds; each attempt borrows from it.
+        prefer : VmId, optional
+            Server for the first attempt.
+        """
+        chooser = self.fleet.find_chooser(head.service)
+        budget = self.fleet.find_budget(head.service)
+        if chooser is None or budget is None:
+            refusal = Refusal(ResultCode.NO_BACKEND_SERVER, "no VM runs the service")
+            return Forwarded(refusal_to_head(refusal), None, None)
+        budget.note_call()
+        run = _Run(self, head, deadline_at_ms, allowance, chooser, budget, prefer)
+        return await run.finish()
+
+    async def send(self, vm_id: VmId, head: CallHead) -> Reply | Refusal:
+        """Send one attempt to one VM, this one included."""
+        if vm_id == self.own_vm:
+            local = LocalCall(LOCAL_WINDOW_BYTES)
+            self.serve_locally(local, head)
+            return local
+        vm = self.fleet.find_vm(vm_id)
+        if vm is None:
+            return Refusal(ResultCode.LINK_LOST, "the VM is gone", RunState.NOT_RUN)
+        return await self._send_remote(vm, head)
+
+    async def _send_remote(self, vm: Vm, head: CallHead) -> Reply | Refusal:
+        link = self.links.find(vm.vm_id) or await self.links.obtain(vm)
+        if isinstance(link, Refusal):
+            return link
+        return link.send_call(head)
+
+
+@attrs.define(eq=False)
+class _Run:
+    """The attempts made for one call."""
+
+    forwarder: Forwarder
+    head: CallHead
+    deadline_at_ms: int
+    allowance: RetryAllowance
+    chooser: Chooser
+    budget: RetryBudget
+    prefer: VmId | None
+    number: int = 0
+    retries: int = 0
+    earlier: RunState = RunState.NOT_RUN
+    tried: frozenset[VmId] = frozenset()
+
+    async def finish(self) -> Forwarded:
+        """Make attempts until one is final."""
+        while True:
+            self.number += 1
+            vm_id = self._choose()
+            if isinstance(vm_id, Refusal):
+                return self._refuse(attrs.evolve(vm_id, run_state=self.earlier))
+            self.tried |= {vm_id}
+            forwarded = await self._attempt(vm_id)
+            failure = _find_failure(forwarded.head)
+            if failure is None:
+                return forwarded
+            decision = self._decide(failure)
+            if isinstance(decision, GiveUp):
+                return self._give_up(forwarded, decision.refusal)
+            if forwarded.reply is not None:
+                forwarded.reply.cancel()
+            self.earlier = merge_run_states(self.earlier, failure.run_state)
+            self.retries += 1
+            await anyio.sleep(decision.delay_ms / _MS_PER_S)
+
+    @property
+    def _loan_id(self) -> tuple[int, int]:
+        """Name of the present attempt among all that borrow from the allowance."""
+        return id(self), self.number
+
+    def _choose(self) -> VmId | Refusal:
+        if self.prefer is not None and self.prefer not in self.tried:
+            return self.prefer
+        return self.chooser.choose(self.forwarder.clock.now_ms(), self.tried)
+
+    async def _attempt(self, vm_id: VmId) -> Forwarded:
+        clock = self.forwarder.clock
+        sent_at_ms = clock.now_ms()
+        lent = self.allowance.lend(self._loan_id)
+        head = attrs.evolve(
+            self.head, allowance=lent, remaining_ms=self.deadline_at_ms - sent_at_ms
+        )
+        self.chooser.note_sent(sent_at_ms, vm_id)
+        outcome = CallOutcome.CANCELLED
+        load: ServerLoad | None = None
+        reply: Reply | Refusal | None = None
+        try:
+            reply = await self.forwarder.send(vm_id, head)
+            answer = reply if isinstance(reply, Refusal) else await reply.wait_answer()
+            if isinstance(answer, Refusal):
+                outcome = CallOutcome.LINK_LOST
+                self._settle_lost(answer, lent)
+                return Forwarded(refusal_to_head(answer), None, vm_id, self.retries)
+            outcome = _judge(answer)
+            load = ServerLoad(answer.in_flight, 0, answer.limit)
+            self.allowance.settle(self._loan_id, lent - answer.spent)
+            self.retries += answer.spent
+            assert not isinstance(reply, Refusal)
+            return Forwarded(answer, reply, vm_id, self.retries)
+        finally:
+            now_ms = clock.now_ms()
+            self.chooser.note_answer(now_ms, vm_id, outcome, now_ms - sent_at_ms, load)
+            if outcome is CallOutcome.CANCELLED and reply is not None:
+                self.allowance.write_off(self._loan_id)
+                if not isinstance(reply, Refusal):
+                    reply.cancel()
+
+    def _settle_lost(self, refusal: Refusal, lent: int) -> None:
+        if refusal.run_state is RunState.NOT_RUN:
+            self.allowance.settle(self._loan_id, lent)
+        else:
+            self.allowance.write_off(self._loan_id)
+
+    def _decide(self, failure: Refusal) -> Retry | GiveUp:
+        attempt = Attempt(
+            number=self.number,
+            tried=self.tried,
+            failure=failure,
+            repeatable=self.head.repeatable,
+            deadline_at_ms=self.deadline_at_ms,
+            alternatives=self.chooser.count_usable(self.tried),
+            earlier=self.earlier,
+        )
+        return decide_retry(
+            self.forwarder.clock.now_ms(),
+            attempt,
+            self.allowance,
+            self.budget,
+            self.forwarder.random,
+        )
+
+    def _give_up(self, forwarded: Forwarded, refusal: Refusal) -> Forwarded:
+        """Return the last answer of a backend server as it is, or the final refusal."""
+        if forwarded.head.code is ResultCode.OK:
+            return forwarded
+        return self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> Forwarded:
+        return Forwarded(refusal_to_head(refusal), None, None, self.retries)
+
+
+def _find_failure(head: AnswerHead) -> Refusal | None:
+    """Return what keeps an answer from being final, or None."""
+    if head.code is not ResultCode.OK:
+        return head_to_refusal(head)
+    if head.status in _RETRIED_STATUSES:
+        reason = f"the backend server answered {head.status}"
+        return Refusal(ResultCode.BACKEND_SERVER_FAILED, reason, RunState.RAN)
+    return None
+
+
+def _judge(head: AnswerHead) -> CallOutcome:
+    """Return what an answer says of the server that gave it."""
+    if head.code is ResultCode.DEADLINE_PASSED:
+        return CallOutcome.TIMEOUT
+    if head.code is ResultCode.BACKEND_SERVER_FAILED:
+        return CallOutcome.ERROR
+    if head.code is not ResultCode.OK:
+        return CallOutcome.REFUSED
+    return CallOutcome.ERROR if head.status in _RETRIED_STATUSES else CallOutcome.SUCCESS
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/identify.py
@@ -0,0 +1,111 @@
+"""Who makes a call: the client account of a key, the parent call of a token, or the public."""
+
+from urllib.parse import parse_qsl
+
+import attrs
+
+from wisteria_config import PUBLIC_ACCOUNT, Document, Route
+from wisteria_core import Refusal, ResultCode
+from wisteria_wire import HttpRequest
+
+from .calls import CallRegistry, RunningCall
+from .headers import BEARER_PREFIX, HEADER_AUTHORIZATION, HEADER_CALL_TOKEN
+
+_MAX_SCANNED_VALUE_CHARS = 512
+
+
+@attrs.frozen(eq=False)
+class Caller:
+    """The client account that a call runs for.
+
+    Parameters
+    ----------
+    key_id, key_digest : str
+        Of the key that came with the request or with its first ancestor; empty on open routes.
+    parent : RunningCall or None
+        The call that makes this one; None when it comes from outside.
+    """
+
+    account: str
+    weight: int
+    key_id: str = ""
+    key_digest: str = ""
+    parent: RunningCall | None = None
+
+
+def identify_caller(
+    document: Document, registry: CallRegistry, route: Route, request: HttpRequest
+) -> Caller | Refusal:
+    """Return the account that a request may run for, or why it may not.
+
+    A child call acts for its parent's account, whatever else it carries.
+    """
+    for name in (HEADER_AUTHORIZATION, HEADER_CALL_TOKEN):
+        if request.count_header(name) > 1:
+            return Refusal(ResultCode.BAD_REQUEST, f"the header {name} occurs more than once")
+    token = request.find_header(HEADER_CALL_TOKEN)
+    if token is not None:
+        return _identify_child(registry, route, token)
+    caller = _identify_outside(document, route, request)
+    if isinstance(caller, Refusal):
+        return caller
+    return _refuse_stray_key(document, request) or caller
+
+
+def _identify_child(registry: CallRegistry, route: Route, token: str) -> Caller | Refusal:
+    parent = registry.find(token)
+    if parent is None:
+        return Refusal(ResultCode.BAD_CALL_TOKEN, "the call token belongs to no running call")
+    head = parent.head
+    if not route.open and not route.permits(head.account):
+        return _forbid()
+    return Caller(head.account, head.weight, head.key_id, head.key_digest, parent)
+
+
+def _identify_outside(document: Document, route: Route, request: HttpRequest) -> Caller | Refusal:
+    authorization = request.find_header(HEADER_AUTHORIZATION)
+    if route.open:
+        return Caller(PUBLIC_ACCOUNT, document.public.weight)
+    if authorization is None:
+        return Refusal(ResultCode.KEY_MISSING, "the route needs a key: Authorization: Bearer <key>")
+    if authorization[: len(BEARER_PREFIX)].lower() != BEARER_PREFIX:
+        return Refusal(ResultCode.KEY_MISSING, "the key must be given as Authorization: Bearer")
+    record = document.find_key(authorization[len(BEARER_PREFIX) :].strip())
+    if record is None:
+        return Refusal(ResultCode.KEY_UNKNOWN, "the key is not known or has been withdrawn")
+    account = document.find_account(record.account)
+    if account is None:
+        return Refusal(ResultCode.KEY_UNKNOWN, "the key belongs to no client account")
+    if not route.permits(record.account):
+        return _forbid()
+    return Caller(record.account, account.weight, record.id, record.sha256)
+
+
+def _forbid() -> Refusal:
+    return Refusal(ResultCode.ROUTE_FORBIDDEN, "the client account may not use this route")
+
+
+def _refuse_stray_key(document: Document, request: HttpRequest) -> Refusal | None:
+    """Return a refusal when a key stands where it would reach a backend server."""
+    candidates = [value for name, value in request.headers if name != HEADER_AUTHORIZATION]
+    _, _, query = request.target.partition("?")
+    if query:
+        candidates += [part for pair in parse_qsl(query, keep_blank_values=True) for part in pair]
+    presented = (request.find_header(HEADER_AUTHORIZATION) or "")[len(BEARER_PREFIX) :].strip()
+    is_repeated = len(presented) > 0 and (
+        presented.encode("latin-1") in request.body
+        or presented in request.target
+        or any(presented in value for value in candidates)
+    )
+    if is_repeated or any(_is_key(document, value) for value in candidates):
+        return Refusal(
+            ResultCode.BAD_REQUEST, "a key may stand in the Authorization header and nowhere else"
+        )
+    return None
+
+
+def _is_key(document: Document, value: str) -> bool:
+    if len(value) > _MAX_SCANNED_VALUE_CHARS:
+        return False
+    word = value.strip().rpartition(" ")[2]
+    return document.find_key(word) is not None
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/rates.py
@@ -0,0 +1,166 @@
+"""Account rates at this daemon: borrows tokens for callers, lends from the slices it owns."""
+
+from collections.abc import Callable, Iterable
+
+import anyio
+import attrs
+
+from wisteria_config import Document
+from wisteria_core import Clock, FailureDomain, Refusal, VmId
+from wisteria_limits import (
+    AccountBudget,
+    AccountRate,
+    Admitted,
+    BorrowReply,
+    BorrowRequest,
+    Decided,
+    Pending,
+    SliceId,
+    SliceOwner,
+    SliceShare,
+    slices_for,
+)
+from wisteria_ownership import SlotId
+
+from .slots import SlotTable, rate_slot
+
+_MS_PER_S = 1_000
+TICK_MS = 20
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    """A call that waits for tokens."""
+
+    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    outcome: Admitted | Refusal | None = None
+
+
+@attrs.define(eq=False)
+class Rates:
+    """Both sides of the account rates of one daemon.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to the daemon of a VM, this one included.
+    slots : SlotTable
+        Says which slices this VM owns at this moment, and who owns the others.
+    """
+
+    budget: AccountBudget
+    owner: SliceOwner
+    clock: Clock
+    send: Callable[[VmId, BorrowRequest | BorrowReply], None]
+    slots: SlotTable
+    shares: dict[SliceId, SliceShare] = attrs.field(factory=dict)
+    _waiters: dict[int, _Waiter] = attrs.field(factory=dict)
+
+    async def admit(self, account: str) -> Admitted | Refusal:
+        """Take one call's token, waiting for a loan when one is under way."""
+        verdict = self.budget.admit(self.clock.now_ms(), account)
+        if not isinstance(verdict, Pending):
+            return verdict
+        waiter = _Waiter()
+        self._waiters[verdict.waiter_id] = waiter
+        self.tick()
+        try:
+            await waiter.decided.wait()
+        finally:
+            del self._waiters[verdict.waiter_id]
+            self.budget.cancel(account, verdict.waiter_id)
+        assert waiter.outcome is not None
+        return waiter.outcome
+
+    def refund(self, admitted: Admitted) -> None:
+        """Give a token back because nothing ran."""
+        self.budget.refund(self.clock.now_ms(), admitted)
+
+    async def run_ticks(self) -> None:
+        """Borrow, report and return in time; runs until cancelled."""
+        while True:
+            await anyio.sleep(TICK_MS / _MS_PER_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Do what is due now."""
+        step = self.budget.tick(self.clock.now_ms())
+        self._settle(step.decided)
+        for action in step.sends:
+            self.send(action.vm_id, action.request)
+
+    def handle_request(self, sender: VmId, request: BorrowRequest) -> None:
+        """Answer a borrower from the slices that this VM owns at this moment."""
+        if request.borrower != sender:
+            return
+        now_ms = self.clock.now_ms()
+        for slice_id in tuple(self.owner.held()):
+            if not self.slots.may_decide(rate_slot(slice_id)):
+                self.owner.drop(slice_id)
+        reply = self.owner.answer(now_ms, request)
+        if reply.grants:
+            self.send(sender, reply)
+
+    def handle_reply(self, sender: VmId, reply: BorrowReply) -> None:
+        """Take in what an owner has lent."""
+        self._settle(self.budget.on_reply(self.clock.now_ms(), sender, reply))
+
+    def note_link_lost(self, vm_id: VmId) -> None:
+        """Take an owner as silent."""
+        self._settle(self.budget.on_link_lost(self.clock.now_ms(), vm_id))
+
+    def apply_document(self, document: Document, domains: Iterable[FailureDomain]) -> None:
+        """Put the accounts of a configuration version in force."""
+        now_ms = self.clock.now_ms()
+        names = tuple(domains)
+        rates = make_rates(document)
+        self.shares = {}
+        for rate in rates:
+            self.shares.update(slices_for(rate, names))
+        self._settle(self.budget.configure(now_ms, rates, names))
+        self.owner.configure(now_ms, self.shares)
+        self.refresh_owners()
+
+    def refresh_owners(self) -> None:
+        """Work out anew which VM owns each slice."""
+        owners: dict[SliceId, VmId] = {}
+        for slice_id in self.shares:
+            vm_id = self.slots.rank_first(rate_slot(slice_id))
+            if vm_id is not None:
+                owners[slice_id] = vm_id
+        self.budget.set_owners(owners)
+
+    # SlotKeeper
+
+    def acquire(self, slot: SlotId, payload: bytes | None) -> None:
+        """Begin to lend from a slice."""
+        self.owner.start(self.clock.now_ms(), _slice_of(slot), payload)
+
+    def release(self, slot: SlotId) -> bytes:
+        """Stop lending from a slice and return its hand-over."""
+        return self.owner.release(self.clock.now_ms(), _slice_of(slot)) or b""
+
+    def drop(self, slot: SlotId) -> None:
+        """Stop lending from a slice."""
+        self.owner.drop(_slice_of(slot))
+
+    def _settle(self, decided: Iterable[Decided]) -> None:
+        for one in decided:
+            waiter = self._waiters.get(one.waiter_id)
+            if waiter is not None:
+                waiter.outcome = one.outcome
+                waiter.decided.set()
+
+
+def make_rates(document: Document) -> list[AccountRate]:
+    """Return the rate of each client account, the one of open routes among them."""
+    rates = [
+        AccountRate(account.name, account.rate_per_s, account.burst)
+        for account in document.accounts
+    ]
+    public = document.public
+    return [*rates, AccountRate("public", public.rate_per_s, public.burst)]
+
+
+def _slice_of(slot: SlotId) -> SliceId:
+    return SliceId(slot.name, FailureDomain(slot.scope.name), slot.index)
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -10,6 +10,7 @@
 from wisteria_admission import (
     Action,
     AdmissionGate,
+    AdmissionLevel,
     ChainLevels,
     Dispatch,
     Outcome,
@@ -214,7 +215,7 @@
         http_call = await self.backend.send(call)
         if isinstance(http_call, Refusal):
             served.outcome = Outcome.ERROR
-            head = refusal_to_head(http_call, call.spent)
+            head = refusal_to_head(http_call, call.count_spent())
             served.responder.send_answer(self._dress(head, served.head, call.services))
             return
         try:
@@ -227,7 +228,7 @@
         inline = await self._collect_small(http_call)
         if isinstance(inline, Refusal):
             served.outcome = Outcome.ERROR
-            head = refusal_to_head(inline, call.spent)
+            head = refusal_to_head(inline, call.count_spent())
             served.responder.send_answer(self._dress(head, served.head, call.services))
             return
         served.outcome = _judge(answer.status)
@@ -236,7 +237,7 @@
         head = AnswerHead(
             status=answer.status,
             headers=headers if length is None else (*headers, "content-length", str(length)),
-            spent=call.spent,
+            spent=call.count_spent(),
             body=inline or b"",
             complete=inline is not None,
         )
@@ -304,8 +305,10 @@
     ) -> AnswerHead:
         """Return the head with this VM's load and the levels of the chain below it."""
         now_ms = self.clock.now_ms()
-        own = self.gate.level(call.account)
-        relayed = self.levels.relay(now_ms, services, self.vm_id, call.account) if services else ()
+        own = self.gate.level(call.account, call.priority)
+        relayed: tuple[AdmissionLevel, ...] = ()
+        if services:
+            relayed = self.levels.relay(now_ms, services, self.vm_id, call.account, call.priority)
         return attrs.evolve(
             head,
             in_flight=self.gate.running() + self.gate.queued(),
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -159,11 +159,11 @@
         builder.service = level.service
         builder.vmId = level.vm_id
         builder.threshold = level.threshold
-        builder.overShare = level.over_share
+        builder.excessMilli = level.excess_milli
         builder.ageMs = level.age_ms
 
 
 def _read_level(reader: Any) -> AdmissionLevel:
     return AdmissionLevel(
-        reader.service, reader.vmId, reader.threshold, reader.overShare, reader.ageMs
+        reader.service, reader.vmId, reader.threshold, reader.excessMilli, reader.ageMs
     )
--- a/libs/wire/src/wisteria_wire/wire.capnp
+++ b/libs/wire/src/wisteria_wire/wire.capnp
@@ -51,6 +51,6 @@
   service @0 :Text;
   vmId @1 :Text;
   threshold @2 :UInt32;
-  overShare @3 :Bool;
+  excessMilli @3 :UInt16;
   ageMs @4 :UInt32;
 }
