Add account rate slices: lender, borrower, messages

Cause: an account's rate counts over the whole fleet with nothing shared in a store. Lenders keep level plus outstanding loans under the burst share; borrowers end a loan counted from sending.

--- a/libs/limits/src/wisteria_limits/__init__.py
+++ b/libs/limits/src/wisteria_limits/__init__.py
@@ -1,1 +1,48 @@
 """Account rates shared across a fleet."""
+
+from .bucket import SliceBucket
+from .budget import AccountBudget
+from .config import LimitsConfig
+from .const import SLICES_PER_DOMAIN
+from .diagnostics import describe_budget, describe_owner
+from .models import (
+    AccountRate,
+    Admitted,
+    BorrowItem,
+    BorrowReply,
+    BorrowRequest,
+    Decided,
+    Grant,
+    LoanReport,
+    Pending,
+    Send,
+    SliceId,
+    SliceShare,
+    Step,
+)
+from .owner import SliceOwner
+from .slices import slices_for
+
+__all__ = [
+    "SLICES_PER_DOMAIN",
+    "AccountBudget",
+    "AccountRate",
+    "Admitted",
+    "BorrowItem",
+    "BorrowReply",
+    "BorrowRequest",
+    "Decided",
+    "Grant",
+    "LimitsConfig",
+    "LoanReport",
+    "Pending",
+    "Send",
+    "SliceBucket",
+    "SliceId",
+    "SliceOwner",
+    "SliceShare",
+    "Step",
+    "describe_budget",
+    "describe_owner",
+    "slices_for",
+]
--- /dev/null
+++ b/libs/limits/src/wisteria_limits/account.py
@@ -0,0 +1,148 @@
+"""One account at one entry daemon: loans held, demand, waiting calls."""
+
+from collections import OrderedDict
+
+import attrs
+
+from wisteria_core import Refusal, ResultCode
+
+from .config import LimitsConfig
+from .const import MILLI_PER_CALL, MS_PER_S
+from .demand import Demand
+from .lenders import Lenders
+from .loans import HeldLoans
+from .models import AccountRate, Admitted, Decided, Pending
+
+
+@attrs.define
+class Wish:
+    """Milli-calls to borrow: for waiting calls, and ahead of need."""
+
+    needed_milli: int
+    reserve_milli: int
+
+
+@attrs.define
+class BorrowingAccount:
+    """State of one account at the borrower.
+
+    Parameters
+    ----------
+    rate : AccountRate
+        Figures of the whole account.
+    lenders : Lenders
+        Its slices.
+    demand : Demand
+        Estimate of the local arrivals.
+    admitted : Demand
+        Estimate of the local admissions.
+    waiting : OrderedDict
+        Waiter id to the reading by which it must be decided, oldest first.
+    """
+
+    rate: AccountRate
+    config: LimitsConfig
+    lenders: Lenders
+    demand: Demand
+    admitted: Demand
+    loans: HeldLoans = attrs.field(factory=HeldLoans)
+    waiting: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
+    next_ask_ms: int = 0
+    ask_interval_ms: int = 0
+    next_report_ms: int = 0
+
+    def draw(self, now_ms: int) -> Admitted | None:
+        """Take one call's token, or None when too little is held."""
+        draws = self.loans.draw(now_ms, MILLI_PER_CALL)
+        if draws is None:
+            return None
+        self.admitted.add(now_ms, MILLI_PER_CALL)
+        return Admitted(self.rate.account, draws)
+
+    def admit(self, now_ms: int, waiter_id: int) -> Admitted | Pending | Refusal:
+        """Decide a call, or let it wait for a loan."""
+        self.demand.add(now_ms, MILLI_PER_CALL)
+        if not self.waiting:
+            admitted = self.draw(now_ms)
+            if admitted is not None:
+                return admitted
+        if not self._may_borrow(now_ms):
+            return self.refuse()
+        until_ms = now_ms + self.config.wait_limit_ms
+        self.waiting[waiter_id] = until_ms
+        return Pending(waiter_id, until_ms)
+
+    def serve_waiting(self, now_ms: int) -> list[Decided]:
+        """Let waiting calls go on while tokens last; refuse those whose time is up."""
+        decided = []
+        while self.waiting:
+            waiter_id, until_ms = next(iter(self.waiting.items()))
+            admitted = self.draw(now_ms)
+            if admitted is not None:
+                decided.append(Decided(waiter_id, admitted))
+            elif until_ms <= now_ms or not self._worth_waiting(now_ms):
+                decided.append(Decided(waiter_id, self.refuse()))
+            else:
+                break
+            del self.waiting[waiter_id]
+        return decided
+
+    def refuse(self) -> Refusal:
+        """Return the refusal that is true of this moment.
+
+        The rate is exceeded unless the owners that do not reply could make up what is missing.
+        """
+        missing = self.demand.milli_per_s - self.admitted.milli_per_s
+        silent = self.lenders.silent_rate_milli_per_s()
+        wait_ms = -(-(len(self.waiting) + 1) * MS_PER_S // self.rate.rate)
+        if silent and missing <= silent:
+            return Refusal(
+                ResultCode.RATE_UNAVAILABLE,
+                "The VMs that hold the rest of this account's rate do not answer.",
+                retry_after_ms=max(wait_ms, self.config.silence_retry_ms),
+            )
+        return Refusal(
+            ResultCode.RATE_EXCEEDED,
+            "The client account is over its rate and burst.",
+            retry_after_ms=wait_ms,
+        )
+
+    def wish(self, now_ms: int) -> Wish:
+        """Return what is worth asking for now."""
+        needed = len(self.waiting) * MILLI_PER_CALL - self.loans.total_milli
+        asked = self.lenders.asked_milli()
+        target = self.target_milli(now_ms)
+        held = self.loans.total_milli + asked
+        reserve = target - held if held < target // 2 or needed > 0 else 0
+        return Wish(max(0, needed - asked), max(0, reserve - max(0, needed - asked)))
+
+    def target_milli(self, now_ms: int) -> int:
+        """Return the milli-calls that should be held ahead of need."""
+        arrival_ms = self.demand.last_arrival_ms
+        if arrival_ms is None or now_ms - arrival_ms > self.config.idle_return_ms:
+            return 0
+        ahead = self.demand.milli_per_s * self.config.reserve_ms // MS_PER_S
+        limit = self.rate.burst * MILLI_PER_CALL // self.config.reserve_burst_divisor
+        return min(ahead + MILLI_PER_CALL, limit)
+
+    def surplus_milli(self, now_ms: int) -> int:
+        """Return the milli-calls that are better given back."""
+        if self.waiting:
+            return 0
+        target = self.target_milli(now_ms)
+        if self.loans.total_milli < MILLI_PER_CALL or not target:
+            return self.loans.total_milli if not self.lenders.asked_milli() else 0
+        return max(0, self.loans.total_milli - 2 * target)
+
+    def _may_borrow(self, now_ms: int) -> bool:
+        """Return whether the calls waiting and one more can hope for tokens."""
+        hoped = self.lenders.availability_milli(now_ms) + self.lenders.asked_milli()
+        hoped += self.loans.total_milli
+        return hoped >= (len(self.waiting) + 1) * MILLI_PER_CALL
+
+    def _worth_waiting(self, now_ms: int) -> bool:
+        """Return whether the oldest waiting call can hope for tokens."""
+        if self.lenders.asked_milli():
+            return True
+        hoped = self.loans.total_milli + self.lenders.availability_milli(now_ms)
+        return hoped >= MILLI_PER_CALL
--- /dev/null
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -0,0 +1,303 @@
+"""The entry daemon's side: admits calls from tokens that it borrows ahead of need."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from wisteria_core import FailureDomain, Refusal, ResultCode, VmId
+
+from .account import BorrowingAccount
+from .config import LimitsConfig
+from .const import SLICES_PER_DOMAIN
+from .demand import Demand
+from .lenders import Lenders
+from .loans import HeldLoan
+from .models import (
+    AccountRate,
+    Admitted,
+    BorrowItem,
+    BorrowReply,
+    BorrowRequest,
+    Decided,
+    LoanReport,
+    Pending,
+    Send,
+    SliceId,
+    Step,
+)
+from .slices import slices_for
+
+
+@attrs.define
+class _Asked:
+    """A request under way: when it was sent and what it asked of each slice."""
+
+    vm_id: VmId
+    sent_ms: int
+    items: dict[int, int]
+    timed_out: bool = False
+
+
+@attrs.define
+class AccountBudget:
+    """Admission by account rate at one entry daemon.
+
+    Parameters
+    ----------
+    vm_id : VmId
+        Own VM.
+    domain : FailureDomain
+        Own failure domain; its slices are asked first.
+    incarnation : int
+        Distinguishes this process from earlier ones on the VM.
+    config : LimitsConfig
+        Parameters shared with the owners.
+    """
+
+    vm_id: VmId
+    domain: FailureDomain
+    incarnation: int
+    config: LimitsConfig = attrs.field(factory=LimitsConfig)
+    _accounts: dict[str, BorrowingAccount] = attrs.field(factory=dict, init=False)
+    _account_of: dict[int, str] = attrs.field(factory=dict, init=False)
+    _asked: dict[int, _Asked] = attrs.field(factory=dict, init=False)
+    _next_id: int = attrs.field(default=1, init=False)
+
+    def configure(
+        self,
+        now_ms: int,
+        rates: Iterable[AccountRate],
+        domains: Iterable[FailureDomain],
+        slices_per_domain: int = SLICES_PER_DOMAIN,
+    ) -> tuple[Decided, ...]:
+        """Put the accounts of a configuration version in force.
+
+        Returns
+        -------
+        tuple of Decided
+            Refusals of calls that waited for an account that is no longer named.
+        """
+        names = list(domains)
+        earlier = self._accounts
+        self._accounts = {}
+        self._account_of = {}
+        for rate in rates:
+            account = earlier.pop(rate.account, None) or self._make_account(now_ms, rate)
+            account.rate = rate
+            shares = slices_for(rate, names, slices_per_domain)
+            account.lenders.configure(now_ms, shares)
+            self._accounts[rate.account] = account
+            self._account_of.update(dict.fromkeys(account.lenders.by_key, rate.account))
+        return tuple(
+            Decided(waiter_id, _refuse_unknown(account.rate.account))
+            for account in earlier.values()
+            for waiter_id in account.waiting
+        )
+
+    def set_owners(self, owners: Mapping[SliceId, VmId]) -> None:
+        """Take in who owns each slice, as ranked by this VM's list; a lacking one has none."""
+        by_key = {slice_id.key: vm_id for slice_id, vm_id in owners.items()}
+        for account in self._accounts.values():
+            for key, lender in account.lenders.by_key.items():
+                vm_id = by_key.get(key)
+                if vm_id != lender.vm_id:
+                    lender.vm_id = vm_id
+                    lender.silent_until_ms = None
+
+    def admit(self, now_ms: int, account: str) -> Admitted | Pending | Refusal:
+        """Decide one call at its entry.
+
+        Returns
+        -------
+        Admitted
+            The token is taken.
+        Pending
+            A loan is under way. Call `tick` before the loop sleeps; a `Decided` follows.
+        Refusal
+            ``RATE_EXCEEDED`` or ``RATE_UNAVAILABLE``, not run.
+        """
+        state = self._accounts.get(account)
+        if state is None:
+            return _refuse_unknown(account)
+        waiter_id = self._next_id
+        self._next_id += 1
+        return state.admit(now_ms, waiter_id)
+
+    def cancel(self, account: str, waiter_id: int) -> None:
+        """Forget a pending call whose caller has gone."""
+        state = self._accounts.get(account)
+        if state is not None:
+            state.waiting.pop(waiter_id, None)
+
+    def refund(self, now_ms: int, admitted: Admitted) -> int:
+        """Give a token back because nothing ran; return the milli-calls regained.
+
+        A token is regained only while its loan runs and was not reported as spent; a second
+        refund of one call does nothing.
+        """
+        state = self._accounts.get(admitted.account)
+        if admitted.refunded or state is None:
+            return 0
+        admitted.refunded = True
+        return state.loans.put_back(now_ms, admitted.draws)
+
+    def on_reply(self, now_ms: int, vm_id: VmId, reply: BorrowReply) -> tuple[Decided, ...]:
+        """Take in an owner's reply and return the waiting calls that it decides."""
+        if reply.incarnation != self.incarnation:
+            return ()
+        asked = self._asked.get(reply.request_id)
+        if asked is None or asked.vm_id != vm_id:
+            return ()
+        del self._asked[reply.request_id]
+        expires_ms = asked.sent_ms + self.config.lease_ms
+        touched: dict[str, BorrowingAccount] = {}
+        for grant in reply.grants:
+            account = self._find(grant.slice_key)
+            if account is None or grant.slice_key not in asked.items:
+                continue
+            touched[account.rate.account] = account
+            lender = account.lenders.by_key[grant.slice_key]
+            if not asked.timed_out:
+                lender.asked_milli -= asked.items[grant.slice_key]
+            lender.silent_until_ms = None
+            if not grant.held:
+                lender.silent_until_ms = now_ms + self.config.silence_retry_ms
+            lender.note_level(now_ms, grant.left_milli)
+            if grant.granted_milli > 0 and now_ms < expires_ms:
+                loan = HeldLoan(
+                    grant.slice_key, reply.request_id, vm_id, grant.granted_milli, expires_ms
+                )
+                account.loans.add(loan)
+        return self._serve(now_ms, touched.values())
+
+    def on_link_lost(self, now_ms: int, vm_id: VmId) -> tuple[Decided, ...]:
+        """Take an owner as silent at once, as after a broken link."""
+        for asked in self._asked.values():
+            if asked.vm_id == vm_id:
+                self._time_out(now_ms, asked)
+        return self._serve(now_ms, self._accounts.values())
+
+    def tick(self, now_ms: int) -> Step:
+        """Borrow, report, return and time out; call every 20 ms and after each `Pending`."""
+        self._expire_asked(now_ms)
+        decided = self._serve(now_ms, self._accounts.values())
+        items: dict[VmId, list[BorrowItem]] = {}
+        reports: dict[VmId, list[LoanReport]] = {}
+        for account in self._accounts.values():
+            self._plan(now_ms, account, items)
+        for account in self._accounts.values():
+            self._collect_reports(now_ms, account, items, reports)
+        sends = [
+            self._send(now_ms, vm_id, items.get(vm_id, []), reports.get(vm_id, []))
+            for vm_id in {**items, **reports}
+        ]
+        return Step(tuple(sends), decided)
+
+    def drop_all(self) -> None:
+        """Forget every loan, as after a pause of the process."""
+        for account in self._accounts.values():
+            account.loans.clear()
+
+    def accounts(self) -> Mapping[str, BorrowingAccount]:
+        """Return the state of each account, for diagnostics."""
+        return self._accounts
+
+    def _make_account(self, now_ms: int, rate: AccountRate) -> BorrowingAccount:
+        return BorrowingAccount(
+            rate,
+            self.config,
+            Lenders(self.config, self.domain),
+            Demand(self.config, now_ms),
+            Demand(self.config, now_ms),
+            ask_interval_ms=self.config.ask_interval_ms,
+        )
+
+    def _find(self, slice_key: int) -> BorrowingAccount | None:
+        name = self._account_of.get(slice_key)
+        return None if name is None else self._accounts[name]
+
+    def _serve(self, now_ms: int, accounts: Iterable[BorrowingAccount]) -> tuple[Decided, ...]:
+        decided: list[Decided] = []
+        for account in accounts:
+            decided.extend(account.serve_waiting(now_ms))
+        return tuple(decided)
+
+    def _plan(
+        self, now_ms: int, account: BorrowingAccount, items: dict[VmId, list[BorrowItem]]
+    ) -> None:
+        account.demand.update(now_ms)
+        account.admitted.update(now_ms)
+        if now_ms < account.next_ask_ms:
+            return
+        wish = account.wish(now_ms)
+        if not wish.needed_milli and not wish.reserve_milli:
+            return
+        chosen = account.lenders.choose(now_ms, wish.needed_milli, wish.reserve_milli)
+        if not chosen:
+            return
+        account.next_ask_ms = now_ms + account.ask_interval_ms
+        for vm_id, wanted in chosen.items():
+            items.setdefault(vm_id, []).extend(wanted)
+
+    def _collect_reports(
+        self,
+        now_ms: int,
+        account: BorrowingAccount,
+        items: dict[VmId, list[BorrowItem]],
+        reports: dict[VmId, list[LoanReport]],
+    ) -> None:
+        due = now_ms >= account.next_report_ms
+        if due:
+            surplus = account.surplus_milli(now_ms)
+            if surplus:
+                account.loans.give_back(now_ms, surplus)
+            account.next_report_ms = now_ms + self.config.report_interval_ms
+        for vm_id in account.loans.owners_to_report():
+            if due or vm_id in items:
+                reports.setdefault(vm_id, []).extend(account.loans.take_reports(vm_id))
+
+    def _send(
+        self, now_ms: int, vm_id: VmId, items: list[BorrowItem], reports: list[LoanReport]
+    ) -> Send:
+        request_id = self._next_id
+        self._next_id += 1
+        if items:
+            wanted = {item.slice_key: item.needed_milli + item.reserve_milli for item in items}
+            self._asked[request_id] = _Asked(vm_id, now_ms, wanted)
+        request = BorrowRequest(
+            self.vm_id,
+            self.incarnation,
+            request_id,
+            self.config.lease_ms,
+            tuple(items),
+            tuple(reports),
+        )
+        return Send(vm_id, request)
+
+    def _expire_asked(self, now_ms: int) -> None:
+        for request_id, asked in list(self._asked.items()):
+            age_ms = now_ms - asked.sent_ms
+            if age_ms >= self.config.reply_timeout_ms:
+                self._time_out(now_ms, asked)
+            if age_ms >= self.config.lease_ms:
+                del self._asked[request_id]
+
+    def _time_out(self, now_ms: int, asked: _Asked) -> None:
+        if asked.timed_out:
+            return
+        asked.timed_out = True
+        for slice_key, amount in asked.items.items():
+            account = self._find(slice_key)
+            if account is None:
+                continue
+            lender = account.lenders.by_key[slice_key]
+            lender.asked_milli -= amount
+            if lender.vm_id == asked.vm_id:
+                lender.silent_until_ms = now_ms + self.config.silence_retry_ms
+
+
+def _refuse_unknown(account: str) -> Refusal:
+    return Refusal(
+        ResultCode.RATE_UNAVAILABLE,
+        f"The configuration in force names no client account {account!r}.",
+    )
--- /dev/null
+++ b/libs/limits/src/wisteria_limits/loans.py
@@ -0,0 +1,127 @@
+"""The borrower's side of the loans of one account."""
+
+import attrs
+
+from wisteria_core import VmId
+
+from .models import Draw, LoanReport
+
+
+@attrs.define
+class HeldLoan:
+    """Tokens borrowed from one slice.
+
+    Parameters
+    ----------
+    slice_key, loan_id : int
+        Slice that lent, and the request that it granted.
+    vm_id : VmId
+        Owner that lent.
+    remaining_milli : int
+        Milli-calls left to spend.
+    expires_ms : int
+        Own clock; counted from the sending of the request.
+    report_count : int
+        Reports made; a token spent before the last one cannot come back.
+    """
+
+    slice_key: int
+    loan_id: int
+    vm_id: VmId
+    remaining_milli: int
+    expires_ms: int
+    spent_milli: int = 0
+    returned_milli: int = 0
+    unreported_milli: int = 0
+    report_count: int = 0
+
+
+@attrs.define
+class HeldLoans:
+    """Every loan of one account, spent in order of expiry."""
+
+    total_milli: int = 0
+    _loans: dict[tuple[int, int], HeldLoan] = attrs.field(factory=dict)
+
+    def add(self, loan: HeldLoan) -> None:
+        """Take in a loan."""
+        self._loans[(loan.slice_key, loan.loan_id)] = loan
+        self.total_milli += loan.remaining_milli
+
+    def draw(self, now_ms: int, amount_milli: int) -> tuple[Draw, ...] | None:
+        """Spend `amount_milli`, or nothing at all when there is less; return what was drawn."""
+        self.expire(now_ms)
+        if self.total_milli < amount_milli:
+            return None
+        draws = []
+        missing = amount_milli
+        for loan in self._loans.values():
+            part = min(loan.remaining_milli, missing)
+            if not part:
+                continue
+            loan.remaining_milli -= part
+            loan.spent_milli += part
+            loan.unreported_milli += part
+            draws.append(Draw(loan.slice_key, loan.loan_id, loan.report_count, part))
+            missing -= part
+            if not missing:
+                break
+        self.total_milli -= amount_milli
+        return tuple(draws)
+
+    def put_back(self, now_ms: int, draws: tuple[Draw, ...]) -> int:
+        """Undo draws whose loans still run and were not reported since; return milli-calls."""
+        self.expire(now_ms)
+        restored = 0
+        for draw in draws:
+            loan = self._loans.get((draw.slice_key, draw.loan_id))
+            if loan is None or loan.report_count != draw.report_count:
+                continue
+            loan.remaining_milli += draw.amount_milli
+            loan.spent_milli -= draw.amount_milli
+            loan.unreported_milli -= draw.amount_milli
+            restored += draw.amount_milli
+        self.total_milli += restored
+        return restored
+
+    def give_back(self, now_ms: int, amount_milli: int) -> None:
+        """Set up to `amount_milli` aside for return; the next reports carry it."""
+        self.expire(now_ms)
+        for loan in reversed(self._loans.values()):
+            part = min(loan.remaining_milli, amount_milli)
+            loan.remaining_milli -= part
+            loan.returned_milli += part
+            loan.unreported_milli += part
+            amount_milli -= part
+            self.total_milli -= part
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the loans whose time has passed, with whatever is left of them."""
+        ended = [key for key, loan in self._loans.items() if loan.expires_ms <= now_ms]
+        for key in ended:
+            self.total_milli -= self._loans.pop(key).remaining_milli
+
+    def owners_to_report(self) -> set[VmId]:
+        """Return the owners that have a report due."""
+        return {loan.vm_id for loan in self._loans.values() if loan.unreported_milli}
+
+    def take_reports(self, vm_id: VmId) -> tuple[LoanReport, ...]:
+        """Return the reports due to one owner and forget the loans that are used up."""
+        due = [loan for loan in self._loans.values() if loan.unreported_milli]
+        reports = []
+        for loan in due:
+            if loan.vm_id != vm_id:
+                continue
+            reports.append(
+                LoanReport(loan.slice_key, loan.loan_id, loan.spent_milli, loan.returned_milli)
+            )
+            loan.unreported_milli = 0
+            loan.report_count += 1
+            if not loan.remaining_milli:
+                del self._loans[(loan.slice_key, loan.loan_id)]
+        return tuple(reports)
+
+    def clear(self) -> None:
+        """Drop every loan, as after a pause of the process."""
+        self._loans.clear()
+        self.total_milli = 0
