--- a/libs/admission/src/wisteria_admission/chain.py
+++ b/libs/admission/src/wisteria_admission/chain.py
@@ -15,6 +15,7 @@
 USE_FLOOR = 0.5
 NEGLIGIBLE_USE = 0.01
 MAX_REPORTERS = 64
+MAX_REPRESENTED = 1_000
 
 
 @attrs.frozen
@@ -52,6 +53,7 @@
 
     _services: dict[str, dict[str, _Heard]] = attrs.Factory(dict)
     _excesses: dict[str, dict[tuple[str, Priority], _Excess]] = attrs.Factory(dict)
+    _refused: dict[tuple[str, str, Priority], int] = attrs.Factory(dict)
     _routes: dict[str, dict[str, float]] = attrs.Factory(dict)
 
     def note_answer(
@@ -81,10 +83,14 @@
             uses[service] += USE_SMOOTHING * (float(service in named) - uses[service])
         self._routes[route] = {name: use for name, use in uses.items() if use > NEGLIGIBLE_USE}
 
-    def should_shed(self, now_ms: int, rank: int, route: str) -> Refusal | None:
+    def should_shed(
+        self, now_ms: int, rank: int, route: str, account: str, priority: Priority
+    ) -> Refusal | None:
         """Return the refusal of a request that a service of its chain would shed, else None."""
         if rank < self.threshold(now_ms, route):
             return None
+        key = (route, account, priority)
+        self._refused[key] = min(MAX_REPRESENTED, self._refused.get(key, 0) + 1)
         spread = 1.0 + (rank % HASH_RANKS) / HASH_RANKS
         return Refusal(
             ResultCode.SHED,
@@ -92,6 +98,14 @@
             retry_after_ms=int(HOLD_MS * spread),
         )
 
+    def take_represented(self, route: str, account: str, priority: Priority) -> int:
+        """Return the requests that a call sent now stands for, itself included.
+
+        The serving daemons know the demand of an account only with those refused here. Send
+        the number along with the call and with its child calls.
+        """
+        return 1 + self._refused.pop((route, account, priority), 0)
+
     def threshold(self, now_ms: int, route: str) -> int:
         """Return the lowest threshold of the services that `route` needs."""
         return min(
@@ -147,6 +161,7 @@
                 self._services[service] = kept
             else:
                 del self._services[service]
+        self._refused.clear()
         for service, excesses in list(self._excesses.items()):
             kept_excesses = {
                 key: excess
--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -19,18 +19,20 @@
         Samples that an adjustment needs.
     tolerance : float
         Latency over the baseline that is still taken for normal.
-    backoff : float
-        Factor of a multiplicative decrease.
+    backoff, min_backoff : float
+        Factor of a multiplicative decrease when calls are a little too slow, and its lower
+        bound when they are far too slow.
     baseline_drift : float
         Share of the gap to a higher latency that the baseline closes in each window.
     """
 
-    floor: int = 2
+    floor: int = 4
     initial: int = 8
     window_ms: int = 100
     min_samples: int = 5
     tolerance: float = 1.5
     backoff: float = 0.9
+    min_backoff: float = 0.5
     baseline_drift: float = 0.005
 
 
@@ -47,15 +49,18 @@
         longer. The level falls above the target and rises below half of it.
     urgent_factor : int
         Multiple of the target that the wait of urgent calls alone must pass to shed them.
-    max_cut : float
-        Largest share of the arrivals that one adjustment sheds.
+    cut, max_cut : float
+        Share of the arrivals that one adjustment sheds at the target wait, in proportion to
+        the wait, and its bound.
     min_step, max_step : int
-        Ranks by which one adjustment raises the level: doubling from the first to the second.
+        Ranks by which one adjustment raises the level; doubling from the first to the second
+        while slots are idle.
     """
 
     interval_ms: int = 50
     target_wait_ms: int = 40
     urgent_factor: int = 5
+    cut: float = 0.05
     max_cut: float = 0.3
     min_step: int = 8
     max_step: int = 128
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -204,7 +204,6 @@
         lane.queue.charge(ticket, math.ceil(run_ms))
         if lane is self._short:
             self._shares.note_served(ticket.priority, run_ms)
-            self._level.note_served()
         return Dispatch(ticket.call_id)
 
     def _advance(self, now_ms: int) -> list[Action]:
@@ -286,15 +285,16 @@
     def _count_arrival(self, now_ms: int, ticket: Ticket) -> None:
         if ticket.long_download:
             return
-        run_ms = self._run_ms(now_ms, ticket)
-        self._shares.note_demand(ticket.account, ticket.priority, ticket.weight, run_ms)
+        demand_ms = self._run_ms(now_ms, ticket) * max(1, ticket.represented)
+        self._shares.note_demand(ticket.account, ticket.priority, ticket.weight, demand_ms)
         self._level.note_arrival(ticket.rank)
 
     def _adjust(self, now_ms: int) -> None:
         queue = self._short.queue
         wait_ms = self._wait_ms(now_ms, self._short, len(queue))
         urgent_ms = self._wait_ms(now_ms, self._short, queue.size_of(Priority.URGENT))
-        self._level.update(now_ms, self._times.overall_ms(now_ms), wait_ms, urgent_ms)
+        idle = not queue and self._may_start(self._short, Priority.NORMAL)
+        self._level.update(now_ms, self._times.overall_ms(now_ms), wait_ms, urgent_ms, idle)
         self._shares.update(now_ms, len(queue) > 0 or self._level.threshold < RANK_COUNT)
 
     def _run_ms(self, now_ms: int, ticket: Ticket) -> float:
--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -8,10 +8,10 @@
 
 @attrs.define
 class LevelController:
-    """Moves the threshold down while calls wait too long and up again in growing steps.
+    """Moves the threshold down while calls wait too long and up again afterwards.
 
-    A cut removes the share of recent arrivals that exceeds what was served, read off the
-    ranks that arrived. Between half the target wait and the target nothing moves.
+    A cut removes a share of the recent arrivals, read off the ranks that arrived, that grows
+    with the wait. Between half the target wait and the target nothing moves.
 
     Parameters
     ----------
@@ -24,7 +24,6 @@
     _step: int = attrs.field(init=False)
     _updated_ms: int = attrs.field(init=False, default=0)
     _ranks: list[int] = attrs.field(init=False, factory=list)
-    _served: int = attrs.field(init=False, default=0)
 
     def __attrs_post_init__(self) -> None:
         self._step = self.config.min_step
@@ -37,11 +36,9 @@
         """Count an arrival, admitted or not."""
         self._ranks.append(rank)
 
-    def note_served(self) -> None:
-        """Count a dispatched call."""
-        self._served += 1
-
-    def update(self, now_ms: int, run_ms: float, wait_ms: float, urgent_wait_ms: float) -> None:
+    def update(
+        self, now_ms: int, run_ms: float, wait_ms: float, urgent_wait_ms: float, idle: bool
+    ) -> None:
         """Adjust the threshold when an interval has passed.
 
         Parameters
@@ -54,6 +51,8 @@
             Expected wait of a newcomer behind everything that is queued.
         urgent_wait_ms : float
             Expected wait behind the urgent calls alone; only that may shed urgent calls.
+        idle : bool
+            Whether slots are free and nothing waits, so that the level may rise fast.
         """
         if now_ms - self._updated_ms < self.config.interval_ms:
             return
@@ -61,22 +60,20 @@
         target_ms = max(float(self.config.target_wait_ms), run_ms)
         if wait_ms > target_ms:
             sheds_urgent = urgent_wait_ms > self.config.urgent_factor * target_ms
-            self._cut(0 if sheds_urgent else RANKS_PER_PRIORITY)
+            self._cut(wait_ms / target_ms, 0 if sheds_urgent else RANKS_PER_PRIORITY)
         elif 2 * wait_ms < target_ms:
-            self._raise()
+            self._raise(idle)
         self._ranks.clear()
-        self._served = 0
 
-    def _cut(self, lowest: int) -> None:
+    def _cut(self, severity: float, lowest: int) -> None:
         self._step = self.config.min_step
         admitted = sorted(rank for rank in self._ranks if rank < self.threshold)
         if not admitted:
             return
-        excess = 1.0 - self._served / len(admitted)
-        share = min(self.config.max_cut, max(0.02, excess))
+        share = min(self.config.max_cut, self.config.cut * severity)
         cut_at = admitted[int(len(admitted) * (1.0 - share))]
         self.threshold = max(lowest, min(self.threshold, cut_at))
 
-    def _raise(self) -> None:
+    def _raise(self, idle: bool) -> None:
+        self._step = min(self.config.max_step, 2 * self._step) if idle else self.config.min_step
         self.threshold = min(RANK_COUNT, self.threshold + self._step)
-        self._step = min(self.config.max_step, 2 * self._step)
--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -8,11 +8,29 @@
 from .config import LimiterConfig
 from .models import Outcome
 
-WINDOW_SMOOTHING = 0.5
-"""Weight of the last window in the smoothed latency and throughput."""
+BASELINE_FALL = 0.3
+"""Share of the gap to a lower latency that the baseline closes in each window."""
 
-REDUCTION_JUDGED_AT = 0.7
-"""Part of the limit at which a run of decreases is judged."""
+STEADY_GROWTHS = 3
+"""Increases in a row that add one; later ones double."""
+
+FAR_TOO_LONG = 1.25
+"""Multiple of the tolerated latency at which a descent begins."""
+
+DESCENT_DEPTH = 0.6
+"""Part of the limit, after a run of small cuts, at which a descent begins."""
+
+DESCENT_STEP = 0.6
+"""Highest factor of one step of a descent."""
+
+STEP_SAMPLES = 20
+"""Calls that a step of a descent waits for."""
+
+STEP_LATENCIES = 1.5
+"""Length that a step must have, as a multiple of its mean latency."""
+
+STEP_MAX_MS = 600
+"""Longest step of a descent."""
 
 
 class Limiter(Protocol):
@@ -71,32 +89,51 @@
 
 
 @attrs.define
-class _Reduction:
-    """A run of decreases, to tell congestion from a server that has become slower.
-
-    Under congestion a lower limit shortens the calls and keeps the throughput. When instead
-    the throughput falls and the calls stay as long, fewer calls at once are of no use.
-    """
+class _Step:
+    """One step of a descent: the calls that started and ended under one limit."""
 
-    restored_limit: float
     limit: float
-    latency_ms: float
-    throughput: float
+    started_ms: int
+    ended: int = 0
+    latency_sum_ms: int = 0
+
+    def note(self, now_ms: int, latency_ms: int) -> None:
+        """Count a call that ended, unless it started under another limit."""
+        if now_ms - latency_ms >= self.started_ms:
+            self.ended += 1
+            self.latency_sum_ms += latency_ms
 
-    def note(self, limit: float, latency_ms: float, throughput: float) -> None:
-        """Judge from the window with the longest calls."""
-        if latency_ms > self.latency_ms:
-            self.limit, self.latency_ms, self.throughput = limit, latency_ms, throughput
+    def mean_ms(self) -> float:
+        """Return the mean latency of the calls counted."""
+        return self.latency_sum_ms / max(1, self.ended)
 
-    def was_useless(self, limit: float, latency_ms: float, throughput: float) -> bool:
-        """Return whether the throughput, not the latency, has followed the limit down."""
-        part = limit / self.limit
-        midway = (1.0 + part) / 2.0
-        return (
-            part <= REDUCTION_JUDGED_AT
-            and latency_ms > midway * self.latency_ms
-            and throughput < midway * self.throughput
-        )
+    def is_over(self, now_ms: int) -> bool:
+        """Return whether the mean can be trusted, or has taken too long to come."""
+        elapsed_ms = now_ms - self.started_ms
+        if elapsed_ms >= STEP_MAX_MS:
+            return True
+        return self.ended >= STEP_SAMPLES and elapsed_ms >= STEP_LATENCIES * self.mean_ms()
+
+
+@attrs.define
+class _Descent:
+    """Steps down from a limit under which calls were far too long.
+
+    They tell congestion, where a lower limit shortens the calls in proportion, from a server
+    whose calls have become longer, where it does not.
+    """
+
+    start: float
+    step: _Step
+    previous: _Step | None = None
+
+    def is_flat(self) -> bool:
+        """Return whether the last step left the calls as long as they were."""
+        previous, step = self.previous, self.step
+        if previous is None or not previous.ended or not step.ended:
+            return False
+        midway = (1.0 + step.limit / previous.limit) / 2.0
+        return step.mean_ms() > midway * previous.mean_ms()
 
 
 @attrs.define
@@ -117,9 +154,9 @@
     _baseline_ms: float = attrs.field(init=False, default=0.0)
     _cold: bool = attrs.field(init=False, default=True)
     _window: _Window = attrs.field(init=False, factory=_Window)
-    _latency_ms: float = attrs.field(init=False, default=0.0)
-    _throughput: float = attrs.field(init=False, default=0.0)
-    _reduction: _Reduction | None = attrs.field(init=False, default=None)
+    _growths: int = attrs.field(init=False, default=0)
+    _cut_from: float | None = attrs.field(init=False, default=None)
+    _descent: _Descent | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         self._limit = float(self.config.initial)
@@ -136,6 +173,11 @@
 
     def note(self, now_ms: int, latency_ms: int, running: int, outcome: Outcome) -> None:
         """Take in one ended call and adjust the limit when a window is full."""
+        if self._descent is not None:
+            if outcome in (Outcome.SUCCESS, Outcome.TIMEOUT):
+                self._descent.step.note(now_ms, latency_ms)
+            self._advance_descent(now_ms, self._descent)
+            return
         window = self._window
         window.add(latency_ms, running, outcome)
         if now_ms - window.started_ms < self.config.window_ms:
@@ -143,12 +185,12 @@
         if window.samples + window.drops < self.config.min_samples:
             return
         self._window = _Window(now_ms)
-        self._smooth(window, max(1, now_ms - window.started_ms))
-        self._track_baseline(window)
+        if window.samples:
+            self._track_baseline(window.mean_ms())
         before = self._limit
         self._limit = self._adjusted(window)
-        self._judge_reduction(before)
         self._clamp()
+        self._watch_cuts(now_ms, before, window.mean_ms())
 
     def _adjusted(self, window: _Window) -> float:
         raise NotImplementedError
@@ -157,60 +199,80 @@
         """Return whether the limit was reached, so that a higher one can be of use."""
         return 2 * window.peak_running >= self._limit
 
-    def _track_baseline(self, window: _Window) -> None:
-        """Follow the lowest latency at once and a higher one slowly."""
-        if not window.samples:
-            return
-        mean = window.mean_ms()
-        if not self._baseline_ms or mean < self._baseline_ms:
+    def _track_baseline(self, mean: float) -> None:
+        """Follow a lower latency fast and a higher one slowly."""
+        if not self._baseline_ms:
             self._baseline_ms = mean
-        else:
-            self._baseline_ms += (mean - self._baseline_ms) * self.config.baseline_drift
+            return
+        shorter = mean < self._baseline_ms
+        drift = BASELINE_FALL if shorter else self.config.baseline_drift
+        self._baseline_ms += (mean - self._baseline_ms) * drift
 
-    def _judge_reduction(self, before: float) -> None:
-        """Take back a run of decreases that did not shorten the calls."""
-        latency_ms, throughput = self._latency_ms, self._throughput
+    def _watch_cuts(self, now_ms: int, before: float, latency_ms: float) -> None:
+        """Begin a descent when calls are far too long or a run of cuts has gone deep."""
         if self._limit > before:
-            self._reduction = None
-        elif self._reduction is None:
-            if self._limit < before:
-                self._reduction = _Reduction(before, before, latency_ms, throughput)
-        elif self._reduction.was_useless(before, latency_ms, throughput):
-            self._baseline_ms = latency_ms
-            self._limit = self._reduction.restored_limit
-            self._reduction = None
-        else:
-            self._reduction.note(before, latency_ms, throughput)
-
-    def _smooth(self, window: _Window, elapsed_ms: int) -> None:
-        throughput = window.samples / elapsed_ms
-        self._throughput += WINDOW_SMOOTHING * (throughput - self._throughput)
-        if window.samples:
-            self._latency_ms += WINDOW_SMOOTHING * (window.mean_ms() - self._latency_ms)
+            self._cut_from = None
+        elif self._limit < before:
+            self._growths = 0
+            self._cut_from = self._cut_from or before
+            far = latency_ms > FAR_TOO_LONG * self.config.tolerance * self._baseline_ms
+            if far or self._limit <= DESCENT_DEPTH * self._cut_from:
+                self._descent = _Descent(self._cut_from, _Step(self._limit, now_ms))
+
+    def _advance_descent(self, now_ms: int, descent: _Descent) -> None:
+        """Judge the present step once it is over; go one down, or end the descent."""
+        step = descent.step
+        if not step.is_over(now_ms):
+            return
+        if descent.is_flat():
+            self._baseline_ms = step.mean_ms()
+            self._limit = descent.start
+        elif step.ended and not self._is_too_long(step.mean_ms()):
+            self._track_baseline(step.mean_ms())
+        elif self._limit > self._floor():
+            self._limit *= self._cut_factor(step.mean_ms(), DESCENT_STEP)
+            self._clamp()
+            descent.previous, descent.step = step, _Step(self._limit, now_ms)
+            return
+        self._descent = None
+        self._cut_from = None
+        self._window = _Window(now_ms)
+
+    def _cut_factor(self, latency_ms: float, highest: float) -> float:
+        """Return the factor of a decrease: the more the calls are too long, the lower."""
+        wanted = self.config.tolerance * self._baseline_ms / max(1.0, latency_ms)
+        return min(highest, max(self.config.min_backoff, wanted))
+
+    def _floor(self) -> int:
+        return min(self.config.floor, self.ceiling)
 
     def _is_slow(self, window: _Window) -> bool:
-        return window.mean_ms() > self.config.tolerance * self._baseline_ms
+        return self._is_too_long(window.mean_ms())
+
+    def _is_too_long(self, latency_ms: float) -> bool:
+        return latency_ms > self.config.tolerance * self._baseline_ms
 
-    def _grown_cold(self) -> float:
-        """Return the limit after a window of a cold start: half as much again."""
-        return self._limit * 1.5
+    def _grown(self) -> float:
+        """Return a higher limit: by half while cold, else by one, then in doubling steps."""
+        self._growths += 1
+        if self._cold:
+            return self._limit * 1.5
+        step = 1 << max(0, min(self._growths - STEADY_GROWTHS, 8))
+        return self._limit + min(float(step), max(1.0, self._limit / 4))
 
     def _clamp(self) -> None:
-        floor = min(self.config.floor, self.ceiling)
-        self._limit = min(float(self.ceiling), max(float(floor), self._limit))
+        self._limit = min(float(self.ceiling), max(float(self._floor()), self._limit))
 
 
 @attrs.define
 class AimdLimiter(AdaptiveLimiter):
-    """Adds one while calls are fast, multiplies down when they are slow or dropped."""
+    """Adds while calls are fast, multiplies down when they are slow or dropped."""
 
     def _adjusted(self, window: _Window) -> float:
         if window.drops or self._is_slow(window):
             self._cold = False
-            return self._limit * self.config.backoff
-        if not self._is_used(window):
-            return self._limit
-        return self._grown_cold() if self._cold else self._limit + 1
+            return self._limit * self._cut_factor(window.mean_ms(), self.config.backoff)
+        return self._grown() if self._is_used(window) else self._limit
 
 
 @attrs.define
@@ -226,8 +288,4 @@
             self._cold = False
             target = self._limit * max(0.5, gradient) + math.sqrt(self._limit)
             return self._limit + 0.2 * (target - self._limit)
-        if not self._is_used(window):
-            return self._limit
-        return (
-            self._grown_cold() if self._cold else self._limit + max(1.0, math.sqrt(self._limit) / 2)
-        )
+        return self._grown() if self._is_used(window) else self._limit
--- a/libs/admission/src/wisteria_admission/models.py
+++ b/libs/admission/src/wisteria_admission/models.py
@@ -44,6 +44,9 @@
         Whether the call belongs to the class of long downloads.
     route : str
         Name under which run times are learnt.
+    represented : int
+        Requests that this one stands for: itself and those like it that an entry refused
+        early since it last sent one, see `ChainLevels.take_represented`.
     key_id : str
         Identifier (never the secret) of the caller's key, for `AdmissionGate.withdraw`.
     """
@@ -57,6 +60,7 @@
     cost_ms: int = 0
     long_download: bool = False
     route: str = ""
+    represented: int = 1
     key_id: str = ""
 
 
