Keep the awaited answer with its request, not with its connection

Ruled out: holding the connection back until the task has run (one more loop turn a call).

Before: the new test of 200 requests over 4 connections fails on the former code.

--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -67,6 +67,18 @@
 CUT_IN_ANSWER = _fail(ResultCode.ANSWER_TRUNCATED, "the answer was cut short", RunState.RAN)
 
 
+@attrs.define(eq=False)
+class _Awaited:
+    """The head of an answer that a task waits for.
+
+    It belongs to the request, not to the connection: the connection may carry the next
+    request before the task has run.
+    """
+
+    ready: anyio.Event = attrs.field(factory=anyio.Event)
+    answer: HttpAnswer | Refusal | None = None
+
+
 class HttpClientConnection(asyncio.Protocol):
     """One connection to the backend server; carries one request at a time."""
 
@@ -74,8 +86,7 @@
         self.idle_since_ms = 0
         self._pool = pool
         self._transport: asyncio.Transport | None = None
-        self._answer_ready: anyio.Event | None = None
-        self._answer: HttpAnswer | Refusal | None = None
+        self._awaited: _Awaited | None = None
         self._body: BodyStream | None = None
         self._buffered = 0
         self._lost = False
@@ -96,7 +107,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived."""
-        if self._answer_ready is None:
+        if self._awaited is None:
             self.abort()
             return
         try:
@@ -110,20 +121,20 @@
         self._pool.forget(self)
         if self._body is not None:
             self._body.fail(CUT_IN_ANSWER)
-        elif self._answer_ready is not None:
+        elif self._awaited is not None:
             self._settle(CUT_BEFORE_ANSWER)
 
     async def send(self, data: bytes) -> HttpAnswer | Refusal:
         """Send a request and return the head of its answer."""
         assert self._transport is not None
         self._parser = httptools.HttpResponseParser(self)
-        self._answer = None
         self._body = None
-        self._answer_ready = anyio.Event()
+        awaited = _Awaited()
+        self._awaited = awaited
         self._transport.write(data)
-        await self._answer_ready.wait()
-        assert self._answer is not None
-        return self._answer
+        await awaited.ready.wait()
+        assert awaited.answer is not None
+        return awaited.answer
 
     def abort(self) -> None:
         """Cut the connection, which cancels the request at the backend server."""
@@ -179,7 +190,7 @@
             return
         body, self._body = self._body, None
         body.finish()
-        self._answer_ready = None
+        self._awaited = None
         if not self._parser.should_keep_alive():
             self.close()
         self._pool.release(self)
@@ -190,10 +201,10 @@
             self._transport.resume_reading()
 
     def _settle(self, answer: HttpAnswer | Refusal) -> None:
-        if self._answer is not None or self._answer_ready is None:
+        if self._awaited is None or self._awaited.answer is not None:
             return
-        self._answer = answer
-        self._answer_ready.set()
+        self._awaited.answer = answer
+        self._awaited.ready.set()
 
 
 class HttpClientPool:
--- /dev/null
+++ b/script/tools/documents.py
@@ -0,0 +1,85 @@
+"""Configuration documents for the demo, the benches and the process-level tests."""
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class AccountPlan:
+    """A client account with one key.
+
+    Parameters
+    ----------
+    name, key : str
+        Name of the account and the key that its callers present.
+    rate_per_s, burst, weight : int
+        Calls/s, calls, and share of a busy queue.
+    """
+
+    name: str
+    key: str
+    rate_per_s: int = 1_000
+    burst: int = 1_000
+    weight: int = 10
+
+
+@attrs.frozen
+class RoutePlan:
+    """A route in short."""
+
+    id: str
+    service: str
+    path: str
+    method: str = "GET"
+    repeatable: bool = True
+    priority: str = "normal"
+    deadline_ms: int = 5_000
+    retry_allowance: int = 3
+    long_download: bool = False
+    open: bool = False
+
+
+def hash_key(key: str) -> str:
+    """Return the digest under which a document stores a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def make_document(
+    version: int,
+    accounts: tuple[AccountPlan, ...],
+    routes: tuple[RoutePlan, ...],
+    withdrawn: frozenset[str] = frozenset(),
+) -> bytes:
+    """Return a configuration document.
+
+    Parameters
+    ----------
+    withdrawn : frozenset of str
+        Accounts whose keys the document no longer holds.
+    """
+    services = sorted({route.service for route in routes})
+    document: dict[str, Any] = {
+        "schema": 1,
+        "version": version,
+        "public": {"rate_per_s": 100, "burst": 100},
+        "accounts": [
+            {
+                "name": one.name,
+                "rate_per_s": one.rate_per_s,
+                "burst": one.burst,
+                "weight": one.weight,
+            }
+            for one in accounts
+        ],
+        "keys": [
+            {"id": f"{one.name}-key", "sha256": hash_key(one.key), "account": one.name}
+            for one in accounts
+            if one.name not in withdrawn
+        ],
+        "services": [{"name": name} for name in services],
+        "routes": [attrs.asdict(route) for route in routes],
+    }
+    return json.dumps(document, indent=1).encode()
--- /dev/null
+++ b/tests/wire/conftest.py
@@ -0,0 +1,16 @@
+"""Shared fixtures of the wire tests."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+
+@pytest.fixture
+def run_loop() -> Callable[[Callable[[], Awaitable[None]]], None]:
+    """Run an asynchronous test body on the event loop that the daemon uses."""
+
+    def run(body: Callable[[], Awaitable[None]]) -> None:
+        anyio.run(body, backend_options={"use_uvloop": True})
+
+    return run
--- /dev/null
+++ b/tests/wire/test_http_client.py
@@ -0,0 +1,138 @@
+"""The client towards the backend server: reuse, cut answers, cancellation."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from wisteria_core import Clock, Refusal, ResultCode, RunState
+from wisteria_wire import HttpCall, HttpClientPool, collect_body, encode_request
+
+RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+REQUEST = encode_request("GET", "/", ("host", "test"), b"")
+
+
+async def serve(handler: Handler) -> tuple[asyncio.Server, HttpClientPool]:
+    """Return a server on loopback and a pool of four connections to it."""
+    server = await asyncio.start_server(handler, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    return server, HttpClientPool("127.0.0.1", port, 4, Clock())
+
+
+def answer_with(*parts: bytes) -> Handler:
+    """Return a handler that answers each request by `parts` and then closes."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.writelines(parts)
+        await writer.drain()
+        writer.close()
+
+    return handle
+
+
+async def answer_each(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer each request of a connection by the target that it asked for."""
+    while not reader.at_eof():
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            break
+        target = head.split(b" ")[1]
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(target), target))
+    writer.close()
+
+
+async def fetch(pool: HttpClientPool, target: str) -> bytes:
+    """Return the whole body of one request."""
+    call = await pool.send(encode_request("GET", target, ("host", "test"), b""))
+    assert isinstance(call, HttpCall)
+    body = await collect_body(call.answer.body, 1_000)
+    assert isinstance(body, bytes)
+    return body
+
+
+def test_a_reused_connection_gives_each_request_its_own_answer(run_loop: RunLoop) -> None:
+    async def body() -> None:
+        server, pool = await serve(answer_each)
+        found: dict[str, bytes] = {}
+
+        async def ask(target: str) -> None:
+            found[target] = await fetch(pool, target)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(200):
+                tasks.start_soon(ask, f"/{number}")
+        assert found == {f"/{number}": b"/%d" % number for number in range(200)}
+        await pool.async_unload()
+        server.close()
+
+    run_loop(body)
+
+
+def test_a_cut_before_the_answer_leaves_the_outcome_unknown(run_loop: RunLoop) -> None:
+    async def body() -> None:
+        server, pool = await serve(answer_with())
+        refusal = await pool.send(REQUEST)
+        assert isinstance(refusal, Refusal)
+        assert refusal.run_state is RunState.UNKNOWN
+        server.close()
+
+    run_loop(body)
+
+
+def test_a_refused_connection_means_not_run(run_loop: RunLoop) -> None:
+    async def body() -> None:
+        server, pool = await serve(answer_with())
+        server.close()
+        await server.wait_closed()
+        refusal = await pool.send(REQUEST)
+        assert isinstance(refusal, Refusal)
+        assert refusal.run_state is RunState.NOT_RUN
+
+    run_loop(body)
+
+
+def test_a_short_answer_is_never_whole(run_loop: RunLoop) -> None:
+    heads = (
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+    )
+
+    async def body() -> None:
+        for head in heads:
+            server, pool = await serve(answer_with(head, b"short"))
+            call = await pool.send(REQUEST)
+            assert isinstance(call, HttpCall)
+            found = await collect_body(call.answer.body, 1_000)
+            assert isinstance(found, Refusal)
+            assert found.code is ResultCode.ANSWER_TRUNCATED
+            server.close()
+
+    run_loop(body)
+
+
+def test_unsolicited_bytes_end_the_connection(run_loop: RunLoop) -> None:
+    """A doubled answer must not be taken for the answer of the next request."""
+    doubled = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n"
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(doubled + b"a")
+        await writer.drain()
+        await anyio.sleep(0.02)
+        writer.write(doubled + b"b")
+        await writer.drain()
+        await reader.read()
+        writer.close()
+
+    async def body() -> None:
+        server, pool = await serve(handle)
+        assert await fetch(pool, "/1") == b"a"
+        await anyio.sleep(0.05)
+        assert await fetch(pool, "/2") == b"a"
+        server.close()
+
+    run_loop(body)
