Keep AIMD; shed by the standing queue; share fairly of late demand

Cause: at 0.9 of capacity and no surge the level shed up to 24% because bursts passed the target wait of 40 ms, and the limiter stood 25% past the knee (tolerance 1.5).

--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -30,7 +30,7 @@
     initial: int = 8
     window_ms: int = 100
     min_samples: int = 5
-    tolerance: float = 1.5
+    tolerance: float = 1.35
     backoff: float = 0.9
     min_backoff: float = 0.5
     baseline_drift: float = 0.005
@@ -58,7 +58,7 @@
     """
 
     interval_ms: int = 50
-    target_wait_ms: int = 40
+    target_wait_ms: int = 150
     urgent_factor: int = 5
     cut: float = 0.05
     max_cut: float = 0.3
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -11,7 +11,7 @@
 from .const import HASH_RANKS, RANK_COUNT
 from .estimates import RunTimes
 from .levels import LevelController
-from .limiters import GradientLimiter, Limiter
+from .limiters import AimdLimiter, Limiter
 from .models import Action, AdmissionLevel, Dispatch, Offer, Outcome, Queued, Refuse, Ticket
 from .queues import FairQueue
 from .shares import ShareTracker
@@ -40,7 +40,7 @@
     config : AdmissionConfig
         Parameters.
     limiter : Limiter, optional
-        Concurrency limit of short calls; a gradient limiter by default.
+        Concurrency limit of short calls; an AIMD limiter by default.
     """
 
     slots: int
@@ -48,7 +48,7 @@
     vm_id: str = ""
     config: AdmissionConfig = attrs.field(factory=AdmissionConfig)
     limiter: Limiter = attrs.field(
-        default=attrs.Factory(lambda self: GradientLimiter(self.config.limiter), takes_self=True)
+        default=attrs.Factory(lambda self: AimdLimiter(self.config.limiter), takes_self=True)
     )
     _short: _Lane = attrs.field(init=False)
     _long: _Lane = attrs.field(init=False)
--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -1,17 +1,24 @@
 """Shedding level of one serving daemon: a threshold over the shed ranks."""
 
+import math
+
 import attrs
 
 from .config import LevelConfig
 from .const import RANK_COUNT, RANKS_PER_PRIORITY
 
+BUSY_STEP_PART = 4
+"""Part of the largest rise of the level that is used while no slot is idle."""
+
 
 @attrs.define
 class LevelController:
     """Moves the threshold down while calls wait too long and up again afterwards.
 
     A cut removes a share of the recent arrivals, read off the ranks that arrived, that grows
-    with the wait. Between half the target wait and the target nothing moves.
+    with the wait. What counts is the standing queue: the least wait of the interval, so that a
+    burst that drains by itself sheds nothing. Between half the target wait and the target the
+    level stays.
 
     Parameters
     ----------
@@ -23,6 +30,7 @@
     threshold: int = RANK_COUNT
     _step: int = attrs.field(init=False)
     _updated_ms: int = attrs.field(init=False, default=0)
+    _least_wait_ms: float = attrs.field(init=False, default=math.inf)
     _ranks: list[int] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -54,9 +62,11 @@
         idle : bool
             Whether slots are free and nothing waits, so that the level may rise fast.
         """
+        self._least_wait_ms = min(self._least_wait_ms, wait_ms)
         if now_ms - self._updated_ms < self.config.interval_ms:
             return
         self._updated_ms = now_ms
+        wait_ms, self._least_wait_ms = self._least_wait_ms, math.inf
         target_ms = max(float(self.config.target_wait_ms), run_ms)
         if wait_ms > target_ms:
             sheds_urgent = urgent_wait_ms > self.config.urgent_factor * target_ms
@@ -75,5 +85,6 @@
         self.threshold = max(lowest, min(self.threshold, cut_at))
 
     def _raise(self, idle: bool) -> None:
-        self._step = min(self.config.max_step, 2 * self._step) if idle else self.config.min_step
+        highest = self.config.max_step if idle else self.config.max_step // BUSY_STEP_PART
         self.threshold = min(RANK_COUNT, self.threshold + self._step)
+        self._step = min(highest, 2 * self._step)
--- a/libs/admission/src/wisteria_admission/shares.py
+++ b/libs/admission/src/wisteria_admission/shares.py
@@ -6,7 +6,7 @@
 
 from .const import MILLI
 
-HALF_LIFE_MS = 1_000
+HALF_LIFE_MS = 600
 INTERVAL_MS = 100
 NEGLIGIBLE_MS = 0.5
 
