--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -28,6 +28,7 @@
     OwnershipConfig,
     SlotFamily,
 )
+from wisteria_routing import CrashReport, PoisonDetector, SuspicionCleared
 from wisteria_wire import CallHead, Link, LinkPool, PeerMaterial, ServedCall
 
 from .audit import AuditTrail
@@ -35,9 +36,11 @@
 from .callers import CallerPort
 from .calls import CallRegistry
 from .control.plane import ControlPlane
+from .crashes import CrashWatch
 from .entry import EntryPort
 from .fleet import FleetView
 from .forward import Forwarder
+from .health import HealthPoller
 from .metrics import Metrics
 from .once import OnceRouter
 from .operators import (
@@ -172,6 +175,7 @@
         )
         for part in (self.serving, self.rates, self.slots):
             self.tasks.start_soon(part.run_ticks)
+        self.tasks.start_soon(self.health.run)
         async with make_http_client(settings.platform, self.own_vm) as http:
             self.tasks.start_soon(self._run_platform, http)
             _LOGGER.info("daemon_started", extra={"vm": self.own_vm})
@@ -190,8 +194,7 @@
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
         limit_ms = self.settings.timing.stop_limit_ms
         with anyio.move_on_after(limit_ms / _MS_PER_S):
-            while self._count_in_flight() or not self.slots.ownership.is_drained:
-                await anyio.sleep(STOP_POLL_MS / _MS_PER_S)
+            await self._wait_until_idle()
         cut = self._count_in_flight()
         if cut:
             _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
@@ -204,6 +207,13 @@
         _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
         return cut == 0
 
+    async def _wait_until_idle(self) -> None:
+        """Return once no call is in flight and every slot is handed over."""
+        is_busy = True
+        while is_busy:
+            await anyio.sleep(STOP_POLL_MS / _MS_PER_S)
+            is_busy = self._count_in_flight() > 0 or not self.slots.ownership.is_drained
+
     def _count_in_flight(self) -> int:
         return self.entry.in_flight + self.serving.in_flight
 
@@ -327,9 +337,25 @@
         gate = AdmissionGate(
             settings.backend.slots, settings.vm.service, self.own_vm, AdmissionConfig()
         )
+        self.crashes = CrashWatch(
+            PoisonDetector(self.own_vm, str(self.incarnation)),
+            self.backend,
+            self.clock,
+            self._list_service_peers,
+            self.control.send,
+        )
+        self.control.register(self.crashes.handle_report, CrashReport, SuspicionCleared)
         self.serving = ServingPort(
-            gate, self.backend, registry, levels, self.clock, self.own_vm, lambda: self.document
+            gate,
+            self.backend,
+            registry,
+            levels,
+            self.clock,
+            self.own_vm,
+            lambda: self.document,
+            self.crashes,
         )
+        self.health = HealthPoller(self.backend, self.serving, settings.timing.poll_ms)
         forwarder = Forwarder(
             self.fleet, self.links, self.clock, self._random, self.own_vm, self._serve_locally
         )
@@ -360,6 +386,12 @@
             return _not_ready("the list of VMs has not been read yet")
         return None
 
+    def _list_service_peers(self) -> list[VmId]:
+        if self.vm_list is None:
+            return []
+        members = self.vm_list.of_service(self.settings.vm.service)
+        return [vm.vm_id for vm in members if vm.vm_id != self.own_vm]
+
     def _describe_peers(self) -> list[dict[str, Any]]:
         if self.vm_list is None:
             return []
@@ -386,12 +418,13 @@
     bool
         Whether the stop cut off no call.
     """
-    is_clean = True
+    results: list[bool] = []
     async with anyio.create_task_group() as tasks:
         daemon = Daemon(settings, Clock(), tasks)
         tasks.start_soon(_watch_signals, daemon)
-        is_clean = await daemon.run()
-    return is_clean
+        results.append(await daemon.run())
+    # a second signal cancels the group before the stop is complete
+    return bool(results) and results[0]
 
 
 async def _watch_signals(daemon: Daemon) -> None:
--- a/libs/daemon/src/wisteriaproxy/backend.py
+++ b/libs/daemon/src/wisteriaproxy/backend.py
@@ -1,9 +1,10 @@
-"""The backend server of this VM: sends calls to it and reads its health and load."""
+"""The backend server of this VM: sends calls to it and reads its health."""
 
+import anyio
 import attrs
 
 from wisteria_core import Clock, Priority, Refusal
-from wisteria_wire import CallHead, HttpCall, HttpClientPool, encode_request
+from wisteria_wire import CallHead, HttpCall, HttpClientPool, collect_body, encode_request
 
 from .calls import RunningCall
 from .headers import (
@@ -16,6 +17,8 @@
 )
 from .settings import BackendSettings
 
+_STATUS_OK = 200
+_CONNECT_CHECK_S = 0.5
 _PRIORITY_NAMES = {priority: priority.name.lower() for priority in Priority}
 
 
@@ -66,6 +69,30 @@
         data = encode_request(method, head.target, headers, head.body)
         return await self._pool.send(data, fresh=not head.repeatable)
 
+    async def read_health(self, max_bytes: int) -> bytes | Refusal:
+        """Return the body of the health endpoint, empty when it answers with an error."""
+        headers = ("host", self._pool.authority, "connection", "close")
+        call = await self._pool.send(encode_request("GET", self.settings.health_path, headers, b""))
+        if isinstance(call, Refusal):
+            return call
+        try:
+            body = await collect_body(call.answer.body, max_bytes)
+        finally:
+            call.cancel()
+        if isinstance(body, Refusal):
+            return body
+        return body if body is not None and call.answer.status == _STATUS_OK else b""
+
+    async def accepts_connections(self) -> bool:
+        """Return whether the backend server accepts a new connection at this moment."""
+        try:
+            with anyio.fail_after(_CONNECT_CHECK_S):
+                stream = await anyio.connect_tcp(self.settings.host, self.settings.port)
+        except (OSError, TimeoutError):
+            return False
+        await stream.aclose()
+        return True
+
     async def async_unload(self) -> None:
         """Close the connections."""
         await self._pool.async_unload()
--- a/libs/daemon/src/wisteriaproxy/control/control.capnp
+++ b/libs/daemon/src/wisteriaproxy/control/control.capnp
@@ -53,6 +53,13 @@
   answers @2 :List(ClaimAnswer);
 }
 
+struct CrashReport {
+  crashId @0 :Text;
+  vmId @1 :Text;
+  suspects @2 :List(Data);
+  sole @3 :Bool;
+}
+
 struct Farewell {
   listVersion @0 :Int64;
   grants @1 :List(SlotGrant);
@@ -141,3 +148,8 @@
   index @2 :Int64;
   scope @3 :Scope;
 }
+
+struct SuspicionCleared {
+  fingerprint @0 :Data;
+  crashIds @1 :List(Text);
+}
--- a/libs/daemon/src/wisteriaproxy/control/kinds.py
+++ b/libs/daemon/src/wisteriaproxy/control/kinds.py
@@ -14,6 +14,7 @@
     Offer,
     OfferReply,
 )
+from wisteria_routing import CrashReport, SuspicionCleared
 
 # Numbers are never reused; the fields of a message only grow at the end.
 KINDS: dict[int, type[Any]] = {
@@ -28,5 +29,7 @@
     16: HandOver,
     17: HandOverReply,
     18: Farewell,
+    30: CrashReport,
+    31: SuspicionCleared,
 }
 NUMBERS: dict[type[Any], int] = {cls: number for number, cls in KINDS.items()}
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -47,6 +47,7 @@
 NO_DOCUMENT = Refusal(
     ResultCode.NOT_READY, "no configuration is in force yet", retry_after_ms=1_000
 )
+INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the request", RunState.UNKNOWN)
 STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
 
 
@@ -95,8 +96,15 @@
 
     async def handle(self, request: HttpRequest) -> None:
         """Serve one request to its end; a caller that has gone cancels it."""
-        started_ms = self.clock.now_ms()
         request_id = _read_request_id(request)
+        try:
+            await self._handle(request, request_id)
+        except Exception:
+            _LOGGER.exception("entry_failed", extra={ATTR_REQUEST_ID: request_id})
+            self._give_up(request, request_id)
+
+    async def _handle(self, request: HttpRequest, request_id: str) -> None:
+        started_ms = self.clock.now_ms()
         plan = self._plan(started_ms, request, request_id)
         if isinstance(plan, Refusal):
             self._answer_refusal(request, request_id, plan)
@@ -311,6 +319,13 @@
         request.exchange.answer(http_status(refusal.code), headers, body)
         return refusal.code
 
+    def _give_up(self, request: HttpRequest, request_id: str) -> None:
+        """End a request that the daemon itself has failed on."""
+        if request.exchange.started:
+            request.exchange.abort()
+            return
+        self._answer_refusal(request, request_id, INTERNAL)
+
     def _end_early(self, plan: Plan) -> ResultCode:
         """End a request that was cancelled from inside: deadline, withdrawn key, stop."""
         exchange = plan.request.exchange
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -30,6 +30,7 @@
     is_usable: Callable[[VmId], bool]
     is_connected: Callable[[VmId], bool]
     vm_list: VmList | None = None
+    _leaving: set[VmId] = attrs.field(factory=set)
     _vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _choosers: dict[str, Chooser] = attrs.field(factory=dict)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
@@ -68,15 +69,30 @@
                 known = RetryBudget(config)
             self._budgets[service.name] = known
 
+    def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
+        """Take in whether the daemon of a VM says that it takes no new work."""
+        if (vm_id in self._leaving) is is_leaving:
+            return
+        if is_leaving:
+            self._leaving.add(vm_id)
+        else:
+            self._leaving.discard(vm_id)
+        self.refresh()
+
     def refresh(self) -> None:
         """Pass the present view of each VM to the choosers."""
         if self.vm_list is None:
             return
         candidates: dict[str, list[Candidate]] = {service: [] for service in self._choosers}
         for vm in self.vm_list:
-            usable = vm.state is VmState.LIVE and self.is_usable(vm.vm_id)
+            usable = self._is_usable(vm)
             connected = self.is_connected(vm.vm_id)
             candidates[vm.service].append(Candidate(vm.vm_id, vm.failure_domain, usable, connected))
         now_ms = self.clock.now_ms()
         for service, chooser in self._choosers.items():
             chooser.update(now_ms, candidates[service])
+
+    def _is_usable(self, vm: Vm) -> bool:
+        if vm.state is not VmState.LIVE or vm.vm_id in self._leaving:
+            return False
+        return self.is_usable(vm.vm_id)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -180,6 +180,7 @@
                 self._settle_lost(answer, lent)
                 return Forwarded(refusal_to_head(answer), None, vm_id, self.retries)
             outcome = _judge(answer)
+            self.forwarder.fleet.note_leaving(vm_id, answer.leaving)
             load = ServerLoad(answer.in_flight, 0, answer.limit)
             self.allowance.settle(self._loan_id, lent - answer.spent)
             self.retries += answer.spent
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/health.py
@@ -0,0 +1,60 @@
+"""Polls the health and load endpoints of the backend server; its word alone decides nothing."""
+
+import json
+import logging
+from typing import Any
+
+import anyio
+import attrs
+
+from wisteria_core import Refusal
+
+from .backend import BackendServer
+from .serving import ServingPort
+
+_LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+ATTR_STATUS = "status"
+STATUS_DRAINING = "draining"
+MAX_REPORT_BYTES = 16_384
+
+
+@attrs.define(eq=False)
+class HealthPoller:
+    """Notices a backend server that drains, and that no longer does."""
+
+    backend: BackendServer
+    serving: ServingPort
+    poll_ms: int
+    is_reachable: bool = False
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await anyio.sleep(self.poll_ms / _MS_PER_S)
+
+    async def poll(self) -> None:
+        """Read the health endpoint once."""
+        with anyio.move_on_after(self.poll_ms / _MS_PER_S) as scope:
+            body = await self.backend.read_health(MAX_REPORT_BYTES)
+            self.is_reachable = not isinstance(body, Refusal)
+            if isinstance(body, bytes):
+                self._take_report(_parse(body))
+        if scope.cancelled_caught:
+            self.is_reachable = False
+
+    def _take_report(self, report: dict[str, Any]) -> None:
+        draining = report.get(ATTR_STATUS) == STATUS_DRAINING
+        if draining == self.serving.is_draining:
+            return
+        self.serving.is_draining = draining
+        _LOGGER.info("backend_server_drain", extra={"draining": draining})
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        report = json.loads(body)
+    except ValueError:
+        return {}
+    return report if isinstance(report, dict) else {}
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -25,7 +25,9 @@
 from .answers import refusal_to_head
 from .backend import BackendServer
 from .calls import CallRegistry, RunningCall
+from .crashes import CrashWatch
 from .headers import filter_answer_headers
+from .logs import ATTR_REQUEST_ID
 from .responders import Responder
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,6 +37,7 @@
 CONF_TICK_MS = 20
 
 WITHDRAWN = Refusal(ResultCode.KEY_WITHDRAWN, "the key has been withdrawn")
+INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
 
 
 class _Phase(enum.Enum):
@@ -78,7 +81,9 @@
     clock: Clock
     vm_id: str
     read_document: Callable[[], Document | None]
+    crashes: CrashWatch
     is_stopping: bool = False
+    is_draining: bool = False
     _calls: dict[int, _Served] = attrs.field(factory=dict)
     _next_id: int = 0
 
@@ -87,6 +92,11 @@
         """Calls that are queued or running."""
         return len(self._calls)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this VM takes no new work."""
+        return self.is_stopping or self.is_draining
+
     async def serve(self, responder: Responder, head: CallHead) -> None:
         """Serve one call to its end; every outcome is sent to `responder`."""
         now_ms = self.clock.now_ms()
@@ -101,6 +111,10 @@
         try:
             with scope:
                 await self._serve_within(call_id, served)
+        except Exception:
+            _LOGGER.exception("serving_failed", extra={ATTR_REQUEST_ID: head.request_id})
+            served.ended_by = INTERNAL
+            self._end_early(served)
         finally:
             del self._calls[call_id]
             self._leave_gate(call_id, served)
@@ -139,7 +153,7 @@
         refusal = self._check(served.head) or await self._admit(call_id, served)
         if refusal is None:
             # a key may have been withdrawn while the call was queued
-            refusal = self._check_key(served.head)
+            refusal = self._check_key(served.head) or self.crashes.start(call_id, served.head)
         if refusal is not None:
             served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, ()))
             return
@@ -148,9 +162,10 @@
             await self._run(served, call)
         finally:
             self.registry.remove(call)
+            self.crashes.finish(call_id, served.outcome is Outcome.SUCCESS)
 
     def _check(self, head: CallHead) -> Refusal | None:
-        if self.is_stopping:
+        if self.is_leaving:
             return Refusal(
                 ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
             )
@@ -215,6 +230,8 @@
         http_call = await self.backend.send(call)
         if isinstance(http_call, Refusal):
             served.outcome = Outcome.ERROR
+            if http_call.run_state is not RunState.NOT_RUN:
+                await self.crashes.note_cut()
             head = refusal_to_head(http_call, call.count_spent())
             served.responder.send_answer(self._dress(head, served.head, call.services))
             return
@@ -314,7 +331,7 @@
             in_flight=self.gate.running() + self.gate.queued(),
             limit=self.gate.limiter.limit(),
             levels=(own, *relayed),
-            leaving=self.is_stopping,
+            leaving=self.is_leaving,
         )
 
 
