--- a/libs/core/src/wisteria_core/__init__.py
+++ b/libs/core/src/wisteria_core/__init__.py
@@ -10,15 +10,17 @@
     VmList,
     VmState,
 )
-from .results import Refusal, ResultCode, RunState, http_status
+from .results import RESULTS, Refusal, ResultCode, ResultInfo, RunState, http_status
 
 __all__ = [
+    "RESULTS",
     "Clock",
     "FailureDomain",
     "ManualClock",
     "Priority",
     "Refusal",
     "ResultCode",
+    "ResultInfo",
     "RunState",
     "Vm",
     "VmId",
--- a/libs/core/src/wisteria_core/results.py
+++ b/libs/core/src/wisteria_core/results.py
@@ -67,50 +67,100 @@
     INTERNAL = 603
 
 
-_HTTP_STATUS = {
-    ResultCode.OK: 200,
-    ResultCode.BAD_REQUEST: 400,
-    ResultCode.HEADER_TOO_LARGE: 431,
-    ResultCode.BODY_TOO_LARGE: 413,
-    ResultCode.UNKNOWN_ROUTE: 404,
-    ResultCode.IDEMPOTENCY_KEY_REQUIRED: 400,
-    ResultCode.IDEMPOTENCY_KEY_REUSED: 422,
-    ResultCode.BAD_DEADLINE: 400,
-    ResultCode.BAD_CALL_TOKEN: 403,
-    ResultCode.RANGE_NOT_SATISFIABLE: 416,
-    ResultCode.KEY_MISSING: 401,
-    ResultCode.KEY_UNKNOWN: 401,
-    ResultCode.KEY_WITHDRAWN: 401,
-    ResultCode.ROUTE_FORBIDDEN: 403,
-    ResultCode.RATE_EXCEEDED: 429,
-    ResultCode.RATE_UNAVAILABLE: 503,
-    ResultCode.QUEUE_FULL: 503,
-    ResultCode.DEADLINE_UNREACHABLE: 503,
-    ResultCode.DEADLINE_PASSED: 504,
-    ResultCode.SHED: 503,
-    ResultCode.RETRIES_EXHAUSTED: 503,
-    ResultCode.CANCELLED: 499,
-    ResultCode.OUTCOME_UNKNOWN: 409,
-    ResultCode.OWNER_UNREACHABLE: 503,
-    ResultCode.ANSWER_NOT_RETAINED: 409,
-    ResultCode.LEDGER_FULL: 503,
-    ResultCode.NO_BACKEND_SERVER: 503,
-    ResultCode.BACKEND_SERVER_FAILED: 502,
-    ResultCode.BACKEND_SERVER_LEAVING: 503,
-    ResultCode.POISON_REQUEST: 422,
-    ResultCode.LINK_LOST: 502,
-    ResultCode.ANSWER_TRUNCATED: 502,
-    ResultCode.ANSWER_STALLED: 504,
-    ResultCode.NOT_READY: 503,
-    ResultCode.STOPPING: 503,
-    ResultCode.CONFIGURATION_INVALID: 500,
-    ResultCode.INTERNAL: 500,
+@attrs.frozen
+class ResultInfo:
+    """What a result code means to a caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status under which it is answered.
+    meaning : str
+        One sentence for the reference.
+    """
+
+    status: int
+    meaning: str
+
+
+RESULTS: dict[ResultCode, ResultInfo] = {
+    ResultCode.OK: ResultInfo(200, "The backend server's answer, whatever its HTTP status."),
+    ResultCode.BAD_REQUEST: ResultInfo(
+        400, "The request breaks HTTP/1.1 or a rule of this interface."
+    ),
+    ResultCode.HEADER_TOO_LARGE: ResultInfo(431, "The head of the request is larger than allowed."),
+    ResultCode.BODY_TOO_LARGE: ResultInfo(413, "The body of the request is larger than allowed."),
+    ResultCode.UNKNOWN_ROUTE: ResultInfo(
+        404, "No route of the configuration matches method and path."
+    ),
+    ResultCode.IDEMPOTENCY_KEY_REQUIRED: ResultInfo(
+        400, "The route must not run twice and the request has no Idempotency-Key."
+    ),
+    ResultCode.IDEMPOTENCY_KEY_REUSED: ResultInfo(
+        422, "The Idempotency-Key was used before with another request."
+    ),
+    ResultCode.BAD_DEADLINE: ResultInfo(
+        400, "The deadline header is not a number of milliseconds above 0."
+    ),
+    ResultCode.BAD_CALL_TOKEN: ResultInfo(
+        403, "The call token of a child call belongs to no running call."
+    ),
+    ResultCode.RANGE_NOT_SATISFIABLE: ResultInfo(416, "No byte of the asked range exists."),
+    ResultCode.KEY_MISSING: ResultInfo(401, "The route needs a key and the request has none."),
+    ResultCode.KEY_UNKNOWN: ResultInfo(401, "The key is not in the configuration, or no longer."),
+    ResultCode.KEY_WITHDRAWN: ResultInfo(
+        401, "The key was withdrawn while the request was queued or running."
+    ),
+    ResultCode.ROUTE_FORBIDDEN: ResultInfo(403, "The client account may not use the route."),
+    ResultCode.RATE_EXCEEDED: ResultInfo(429, "The client account is over its rate and burst."),
+    ResultCode.RATE_UNAVAILABLE: ResultInfo(
+        503, "The VMs that hold the rest of the account's rate do not answer."
+    ),
+    ResultCode.QUEUE_FULL: ResultInfo(503, "The queue of the backend server is full."),
+    ResultCode.DEADLINE_UNREACHABLE: ResultInfo(503, "The call cannot finish before its deadline."),
+    ResultCode.DEADLINE_PASSED: ResultInfo(504, "The deadline has passed."),
+    ResultCode.SHED: ResultInfo(503, "Load of this rank is being shed."),
+    ResultCode.RETRIES_EXHAUSTED: ResultInfo(
+        503, "The retry allowance of the request or of the service is used up."
+    ),
+    ResultCode.CANCELLED: ResultInfo(499, "The caller has gone or the parent call has ended."),
+    ResultCode.OUTCOME_UNKNOWN: ResultInfo(
+        409, "An earlier attempt under the key may have run; it is not run again."
+    ),
+    ResultCode.OWNER_UNREACHABLE: ResultInfo(
+        503, "The VM that decides about the key cannot be reached."
+    ),
+    ResultCode.ANSWER_NOT_RETAINED: ResultInfo(
+        409, "The request ran, but its answer is no longer kept."
+    ),
+    ResultCode.LEDGER_FULL: ResultInfo(
+        503, "No room is left to record another request that must not run twice."
+    ),
+    ResultCode.NO_BACKEND_SERVER: ResultInfo(
+        503, "No backend server of the service can take the call."
+    ),
+    ResultCode.BACKEND_SERVER_FAILED: ResultInfo(
+        502, "The backend server refused the connection, cut it, or failed."
+    ),
+    ResultCode.BACKEND_SERVER_LEAVING: ResultInfo(503, "The backend server takes no new work."),
+    ResultCode.POISON_REQUEST: ResultInfo(
+        422, "Backend servers crashed whenever they ran this request."
+    ),
+    ResultCode.LINK_LOST: ResultInfo(502, "The link to the serving daemon was lost."),
+    ResultCode.ANSWER_TRUNCATED: ResultInfo(502, "The answer was cut short."),
+    ResultCode.ANSWER_STALLED: ResultInfo(504, "The answer stopped arriving."),
+    ResultCode.NOT_READY: ResultInfo(
+        503, "The daemon has no configuration or VM list in force yet."
+    ),
+    ResultCode.STOPPING: ResultInfo(503, "The daemon is stopping."),
+    ResultCode.CONFIGURATION_INVALID: ResultInfo(500, "The configuration document is invalid."),
+    ResultCode.INTERNAL: ResultInfo(500, "The daemon failed; its log says why."),
 }
 
 
 def http_status(code: ResultCode) -> int:
     """Return the HTTP status that a caller sees with `code`."""
-    return _HTTP_STATUS[code]
+    return RESULTS[code].status
 
 
 @attrs.frozen
--- /dev/null
+++ b/script/tools/bench_limits.py
@@ -0,0 +1,257 @@
+"""Bench of sharing account rates: skewed arrivals over many pure daemons in simulated time."""
+
+import json
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+import typer
+from rich.console import Console
+from rich.table import Table
+from script.tools.bench_limits_fleet import (
+    US_PER_S,
+    Bucket,
+    Lending,
+    Network,
+    OneHome,
+    Size,
+    StaticSplit,
+    Way,
+)
+
+from wisteria_core import FailureDomain, VmId
+from wisteria_limits import AccountRate
+
+DEFAULT_SEED = 20261203
+WARM_UP_S = 3
+RUN_S = 10
+USE = 0.8
+SURGE = 5.0
+MOVE_EVERY_S = 2
+RATES = (400, 300, 200, 50, 30, 20, 10, 5)
+ACCOUNTS = tuple(AccountRate(f"account-{i}", rate, rate) for i, rate in enumerate(RATES))
+COUNCIL = Size("Council", 4, 5, 500, 1_500, ACCOUNTS)
+ROUTE_WORKS = Size("Route Works", 3, 6, 500, 1_000, ACCOUNTS)
+WAYS: dict[str, Callable[[Network], Way]] = {
+    "static split": StaticSplit,
+    "one home": OneHome,
+    "slices, lending": Lending,
+}
+KEPT_WAY = "slices, lending"
+STEADY = ("one VM", "moving", "one domain", "burst at once", "neighbour at 5x")
+AFTER_KILL = "owner killed"
+PARTITION = "domain cut off"
+
+
+@attrs.define
+class Count:
+    """Outcomes of one account, and the strict check of its bound.
+
+    Parameters
+    ----------
+    rate, burst : int
+        Calls per second and calls.
+    excess : int
+        Largest excess of any window over the bound so far, in micro-calls.
+    """
+
+    rate: int
+    burst: int
+    offered: int = 0
+    due: int = 0
+    wrongful: int = 0
+    admitted: int = 0
+    inside: int = 0
+    excess: int = 0
+    _lowest: int | None = None
+
+    def admit(self, now_us: int) -> None:
+        """Count an admission and check every window that ends here."""
+        before = self.admitted * US_PER_S - self.rate * now_us
+        self._lowest = before if self._lowest is None else min(self._lowest, before)
+        self.admitted += 1
+        over = before + US_PER_S - self._lowest - self.burst * US_PER_S
+        self.excess = max(self.excess, over)
+
+    @property
+    def over_bound(self) -> int:
+        """Return the calls over the bound in the worst window, rounded up."""
+        return -(-self.excess // US_PER_S)
+
+
+@attrs.define
+class Run:
+    """One scenario under one way of sharing."""
+
+    way: Way
+    network: Network
+    rng: random.Random
+    counts: dict[str, Count]
+    ideal: dict[str, Bucket]
+    cut_side: int = 0
+
+    def offer(self, vm: VmId, account: str, counted: bool) -> None:
+        """Let one call arrive."""
+        count = self.counts[account]
+        due = self.ideal[account].take(self.network.now_us)
+        if counted:
+            count.offered += 1
+            count.due += due
+
+        def done(now_us: int, admitted: bool) -> None:
+            if admitted:
+                count.admit(now_us)
+                if counted and self.network.size.vms[vm] == self.network.cut:
+                    self.cut_side += 1
+                count.inside += counted
+            elif counted and due:
+                count.wrongful += 1
+
+        self.way.arrive(vm, account, done)
+
+
+def choose_vm(scenario: str, run: Run, account: int, now_us: int) -> VmId:
+    """Return the VM at which a call of the scenario arrives."""
+    vms = run.network.size.vms
+    names = [vm for vm in vms if vm not in run.network.dead]
+    match scenario:
+        case "moving":
+            return names[(account + now_us // (MOVE_EVERY_S * US_PER_S) * 7) % len(names)]
+        case "one domain":
+            domain = FailureDomain(f"domain-{account % run.network.size.domains}")
+            return run.rng.choice([vm for vm in names if vms[vm] == domain])
+        case "neighbour at 5x" | "domain cut off":
+            return run.rng.choice(names)
+        case _:
+            return names[account % len(names)]
+
+
+def schedule_arrivals(scenario: str, run: Run, account: int, until_us: int) -> None:
+    """Plan the arrivals of one account: Poisson, and a burst where the scenario has one."""
+    rate = run.network.size.accounts[account]
+    use = SURGE if scenario == PARTITION else USE
+    if scenario == "neighbour at 5x" and account == 0:
+        use = SURGE
+    start_us = WARM_UP_S * US_PER_S
+
+    def arrive() -> None:
+        now_us = run.network.now_us
+        vm = choose_vm(scenario, run, account, now_us)
+        run.offer(vm, rate.account, now_us >= start_us)
+        plan(now_us)
+
+    def plan(now_us: int) -> None:
+        next_us = now_us + 1 + int(run.rng.expovariate(rate.rate * use) * US_PER_S)
+        if next_us < until_us:
+            run.network.at(next_us, arrive)
+
+    def arrive_together() -> None:
+        vm = choose_vm(scenario, run, account, run.network.now_us)
+        for _ in range(rate.burst):
+            run.offer(vm, rate.account, counted=True)
+        plan(run.network.now_us)
+
+    if scenario == "burst at once":
+        run.network.at(start_us, arrive_together)
+        return
+    plan(0)
+
+
+def run_scenario(scenario: str, size: Size, way_name: str, seed: int) -> Run:
+    """Run one scenario under one way of sharing."""
+    rng = random.Random(f"{seed}/{scenario}/{size.name}")
+    network = Network(size, random.Random(seed))
+    counts = {a.account: Count(a.rate, a.burst) for a in size.accounts}
+    ideal = {a.account: Bucket(a.rate, a.burst * US_PER_S) for a in size.accounts}
+    run = Run(WAYS[way_name](network), network, rng, counts, ideal)
+    run.way.start()
+    until_us = (WARM_UP_S + RUN_S) * US_PER_S
+    for account in range(len(size.accounts)):
+        schedule_arrivals(scenario, run, account, until_us)
+    network.run(WARM_UP_S * US_PER_S - 1)
+    apply_fault(scenario, run)
+    network.run(until_us + US_PER_S)
+    return run
+
+
+def apply_fault(scenario: str, run: Run) -> None:
+    """Kill the VM that holds most of the largest account, or cut a failure domain off."""
+    largest = run.network.size.accounts[0].account
+    if scenario == PARTITION:
+        run.network.cut = FailureDomain("domain-0")
+    if scenario != AFTER_KILL:
+        return
+    match run.way:
+        case Lending():
+            run.network.dead.add(run.way.largest_owner(largest))
+        case OneHome():
+            run.network.dead.add(run.way.home(largest))
+        case _:
+            run.network.dead.add(next(iter(run.network.size.vms)))
+
+
+def percent_wrongful(runs: list[Run]) -> float:
+    """Return refusals of calls within the rate, in percent of such calls."""
+    counts = [count for run in runs for count in run.counts.values()]
+    return 100 * sum(c.wrongful for c in counts) / sum(c.due for c in counts)
+
+
+def over_bound(runs: list[Run]) -> int:
+    """Return the calls over the bound, summed over accounts and runs."""
+    return sum(count.over_bound for run in runs for count in run.counts.values())
+
+
+def add_row(table: Table, size: Size, scenario: str, way: str, run: Run) -> None:
+    """Add a run to the table."""
+    counts = run.counts.values()
+    worst = max(100 * c.wrongful / max(1, c.due) for c in counts)
+    traffic = run.network.traffic.values()
+    daemon_seconds = len(size.vms) * (WARM_UP_S + RUN_S)
+    portion = ""
+    if scenario == PARTITION:
+        rate = sum(c.rate for c in counts) * RUN_S
+        portion = f"{100 * run.cut_side / rate:.0f} / "
+        portion += f"{100 * (sum(c.inside for c in counts) - run.cut_side) / rate:.0f}"
+    table.add_row(
+        size.name,
+        scenario,
+        way,
+        str(over_bound([run])),
+        f"{percent_wrongful([run]):.3f}",
+        f"{worst:.3f}",
+        f"{sum(t.messages for t in traffic) / daemon_seconds:.1f}",
+        f"{sum(t.sent_bytes for t in traffic) / daemon_seconds:.0f}",
+        portion,
+    )
+
+
+def main(seed: int = typer.Option(DEFAULT_SEED, help="Seed of arrivals and delays.")) -> None:
+    """Compare three ways of sharing account rates; the last line is one JSON object."""
+    started_s = time.monotonic()
+    table = Table(title=f"Account rates, seed {seed}, {RUN_S} s a run after {WARM_UP_S} s")
+    columns = ("fleet", "arrivals", "way", "over bound", "wrongful %", "worst account %")
+    for column in (*columns, "messages/s", "bytes/s sent", "cut / rest, % of rate"):
+        table.add_column(column)
+    kept: dict[str, list[Run]] = {}
+    for size in (COUNCIL, ROUTE_WORKS):
+        for scenario in (*STEADY, AFTER_KILL, PARTITION):
+            for way in WAYS:
+                run = run_scenario(scenario, size, way, seed)
+                add_row(table, size, scenario, way, run)
+                if way == KEPT_WAY:
+                    kept.setdefault(scenario, []).append(run)
+    Console(width=150).print(table)
+    steady = [run for scenario in STEADY for run in kept[scenario]]
+    result = {
+        "over_bound": over_bound([run for runs in kept.values() for run in runs]),
+        "wrongful_refusals_percent": round(percent_wrongful(steady), 4),
+        "wrongful_refusals_percent_after_kill": round(percent_wrongful(kept[AFTER_KILL]), 4),
+        "seed": seed,
+        "seconds": round(time.monotonic() - started_s, 1),
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    typer.run(main)
