--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -93,7 +93,7 @@
         call_id : Hashable
             A call that was dispatched; unknown ids are ignored.
         outcome : Outcome
-            How it ended.
+            How it ended; a call that was cancelled after its deadline counts as timed out.
         latency_ms : int
             Time from dispatch to the end, in milliseconds.
 
@@ -105,9 +105,12 @@
         lane = self._lane_of(call_id)
         if lane is None or call_id not in lane.running:
             return []
+        ticket = lane.running[call_id]
+        if outcome is Outcome.CANCELLED and now_ms >= ticket.deadline_at_ms:
+            outcome = Outcome.TIMEOUT
         if lane is self._short:
             self.limiter.note(now_ms, latency_ms, len(lane.running), outcome)
-        ticket = lane.running.pop(call_id)
+        del lane.running[call_id]
         if outcome in (Outcome.SUCCESS, Outcome.TIMEOUT) and lane is self._short:
             self._times.note(now_ms, ticket.route, latency_ms)
         return self._advance(now_ms)
