Learn the configuration through peers; fence every act after a pause

Cause: each daemon watched the service by itself (2,700 watches) and a woken daemon acted on its old view. After: the disseminator decides who reads; a gap in the event loop beyond loop_gap_ms drops loans and slots, and list and configuration are learned anew before the next call. Ruled out: checking for a gap in a timer alone (a socket that is readable at the wake-up may be served first), so each act observes the clock.

--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -1,8 +1,9 @@
-"""The daemon: builds its parts, connects them, runs them until a stop."""
+"""The daemon: runs its parts, connects them to the platform, stops them gracefully."""
 
 import logging
 import secrets
 import signal
+import time
 from random import Random
 from typing import Any
 
@@ -10,50 +11,23 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream
 
-from wisteria_admission import AdmissionConfig, AdmissionGate, ChainLevels
-from wisteria_config import Document, DocumentErrors, document_digest, validate_document
-from wisteria_core import Clock, FailureDomain, Refusal, ResultCode, VmId, VmList
-from wisteria_limits import AccountBudget, BorrowReply, BorrowRequest, LimitsConfig, SliceOwner
-from wisteria_ownership import (
-    Claim,
-    ClaimReply,
-    Farewell,
-    HandOver,
-    HandOverReply,
-    Hello,
-    HelloReply,
-    Offer,
-    OfferReply,
-    Ownership,
-    OwnershipConfig,
-    SlotFamily,
-)
-from wisteria_routing import CrashReport, PoisonDetector, SuspicionCleared
-from wisteria_wire import CallHead, Link, LinkPool, PeerMaterial, ServedCall
+from wisteria_config import Document, document_digest
+from wisteria_core import Clock, Refusal, ResultCode, VmList
+from wisteria_wire import CallHead, Link, ServedCall
 
 from .audit import AuditTrail
-from .backend import BackendServer
-from .callers import CallerPort
-from .calls import CallRegistry
-from .control.plane import ControlPlane
-from .crashes import CrashWatch
-from .entry import EntryPort
-from .fleet import FleetView
-from .forward import Forwarder
-from .health import HealthPoller
+from .gaps import GapMonitor
 from .metrics import Metrics
-from .once import OnceRouter
 from .operators import (
     OperatorApp,
     Readiness,
     async_setup_operators,
     async_unload_operators,
 )
+from .parts import Identity, build_call_path, build_shared
 from .platform import (
     Backoff,
-    DocumentRead,
     ListRead,
-    NoNews,
     PlatformClient,
     ReadFailed,
     ReadResult,
@@ -61,17 +35,21 @@
     async_watch_platform,
     make_http_client,
 )
-from .rates import Rates
-from .responders import LocalCall
-from .serving import ServingPort
 from .settings import Settings
-from .slots import SlotTable, domains_of, list_slots
+from .slots import domains_of, list_slots
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
+_NS_PER_MS = 1_000_000
+INCARNATION_RANDOM_BITS = 5
 RESULT_BUFFER = 16
 STOP_POLL_MS = 20
-LEAVE_NOTICE_MS = 200
+
+
+def make_incarnation() -> int:
+    """Return a number that rises with each start on one VM, also over a reboot."""
+    now_ms = time.time_ns() // _NS_PER_MS
+    return now_ms << INCARNATION_RANDOM_BITS | secrets.randbits(INCARNATION_RANDOM_BITS)
 
 
 class Daemon:
@@ -83,71 +61,88 @@
         Checked settings.
     clock : Clock
         Source of milliseconds.
+    tasks : TaskGroup
+        Runs the daemon's tasks.
+    http : httpx.AsyncClient
+        Client for what the platform publishes.
     """
 
-    def __init__(self, settings: Settings, clock: Clock, tasks: TaskGroup) -> None:
+    def __init__(self, settings: Settings, clock: Clock, tasks: TaskGroup, http: Any) -> None:
         self.settings = settings
         self.clock = clock
         self.tasks = tasks
-        self.own_vm = VmId(settings.vm.id)
-        self.incarnation = secrets.randbits(16) | clock.now_ms() << 16
-        self.document: Document | None = None
-        self.document_age_from_ms = clock.now_ms()
-        self.vm_list: VmList | None = None
-        self.audit = AuditTrail()
-        self.metrics = Metrics()
         self.stopping = anyio.Event()
-        self.is_leaving = False
-        self._random = Random(self.incarnation)
-        self._build(settings)
+        self.vm_list: VmList | None = None
+        self.is_list_current = False
+        incarnation = make_incarnation()
+        self.identity = Identity(
+            settings, clock, tasks, incarnation, Random(incarnation), AuditTrail(), Metrics()
+        )
+        self._http = http
+        self._list_client = self._make_client(Resource.VMS, settings.platform.vms_url)
+        self.gaps = GapMonitor(
+            clock, settings.timing.loop_gap_ms, self.identity.metrics, self._handle_gap
+        )
+        self.shared = build_shared(
+            self.identity,
+            self,
+            self._make_client(Resource.DOCUMENT, settings.platform.config_url),
+            self._put_in_force,
+        )
+        self.path = build_call_path(self.identity, self.shared, self._check_ready)
 
     # LinkOwner
 
     def handle_link_open(self, link: Link) -> bool:
         """Keep the link of an authenticated peer."""
         assert link.peer is not None
-        self.links.add(link)
-        self.slots.note_reachable(link.peer.vm_id, True)
-        self.fleet.refresh()
+        self.shared.links.add(link)
+        self.shared.slots.note_reachable(link.peer.vm_id, True)
+        self.shared.fleet.refresh()
         return True
 
     def handle_call(self, served: ServedCall, head: CallHead) -> None:
         """Serve a call of another daemon."""
-        self.tasks.start_soon(self.once.serve, served, head)
+        self.tasks.start_soon(self.path.once.serve, served, head)
 
     def handle_control(self, link: Link, kind: int, payload: bytes) -> None:
         """Take in a control message."""
-        self.control.handle(link, kind, payload)
+        self.gaps.observe()
+        self.shared.control.handle(link, kind, payload)
 
     def handle_link_closed(self, link: Link, reason: str) -> None:
         """Forget a link; a peer without any link counts as silent."""
-        self.links.remove(link)
-        if link.peer is None or self.links.find(link.peer.vm_id) is not None:
+        self.shared.links.remove(link)
+        if link.peer is None or self.shared.links.find(link.peer.vm_id) is not None:
             return
         _LOGGER.info("link_closed", extra={"peer": link.peer.vm_id, "reason": reason})
-        self.rates.note_link_lost(link.peer.vm_id)
+        self.shared.rates.note_link_lost(link.peer.vm_id)
+        self.shared.fleet.refresh()
 
     # DaemonState
 
     def describe_status(self) -> dict[str, Any]:
         """Return what operators see."""
-        now_ms = self.clock.now_ms()
         readiness = self.check_ready()
-        document = self.document
+        document = self.shared.configuration.document
+        vm = self.settings.vm
         return {
             "version": document.version if document else None,
             "digest": document_digest(document).hex() if document else None,
-            "age_ms": now_ms - self.document_age_from_ms,
+            "age_ms": self.shared.configuration.age_ms(),
             "ready": readiness.ready,
             "reason": readiness.reason,
-            "vm": self.own_vm,
-            "incarnation": self.incarnation,
-            "service": self.settings.vm.service,
-            "failure_domain": self.settings.vm.failure_domain,
+            "vm": vm.id,
+            "incarnation": self.identity.incarnation,
+            "service": vm.service,
+            "failure_domain": vm.failure_domain,
             "peers": self._describe_peers(),
-            "slots": [str(slot) for slot in self.slots.ownership.held_slots()],
-            "limits": [self.serving.gate.describe()],
-            "queues": {"entry": self.entry.in_flight, "serving": self.serving.in_flight},
+            "slots": [str(slot) for slot in self.shared.slots.ownership.held_slots()],
+            "limits": [self.path.serving.gate.describe()],
+            "queues": {
+                "entry": self.path.entry.in_flight,
+                "serving": self.path.serving.in_flight,
+            },
         }
 
     def check_ready(self) -> Readiness:
@@ -163,47 +158,45 @@
 
     async def run(self) -> bool:
         """Run until a stop is asked for; return whether every call was finished."""
-        settings = self.settings
-        listen = settings.listen
-        await self.links.async_setup(listen.host, listen.peer_port)
-        await self.callers.async_setup(listen.host, listen.caller_port)
-        operators = await async_setup_operators(
-            self.tasks,
-            listen.host,
-            listen.operator_port,
-            OperatorApp(self, self.metrics, self.audit),
-        )
-        for part in (self.serving, self.rates, self.slots):
-            self.tasks.start_soon(part.run_ticks)
-        self.tasks.start_soon(self.health.run)
-        async with make_http_client(settings.platform, self.own_vm) as http:
-            self.tasks.start_soon(self._run_platform, http)
-            _LOGGER.info("daemon_started", extra={"vm": self.own_vm})
-            await self.stopping.wait()
-            is_clean = await self._finish()
+        listen = self.settings.listen
+        await self.shared.links.async_setup(listen.host, listen.peer_port)
+        await self.path.callers.async_setup(listen.host, listen.caller_port)
+        app = OperatorApp(self, self.identity.metrics, self.identity.audit)
+        operators = await async_setup_operators(self.tasks, listen.host, listen.operator_port, app)
+        for run in (
+            self.gaps.run,
+            self.path.serving.run_ticks,
+            self.shared.rates.run_ticks,
+            self.shared.slots.run_ticks,
+            self.path.health.run,
+            self.shared.configuration.run,
+            self._run_list,
+        ):
+            self.tasks.start_soon(run)
+        _LOGGER.info("daemon_started", extra={"vm": self.settings.vm.id})
+        await self.stopping.wait()
+        is_clean = await self._finish()
         await async_unload_operators(operators)
         self.tasks.cancel_scope.cancel()
         return is_clean
 
     async def _finish(self) -> bool:
         """Refuse new work, hand slots over, let calls in flight end."""
-        self.is_leaving = True
-        self.entry.is_stopping = True
-        self.serving.begin_stop()
-        self.slots.begin_stop()
+        self.path.entry.is_stopping = True
+        self.path.serving.begin_stop()
+        self.shared.slots.begin_stop()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
-        limit_ms = self.settings.timing.stop_limit_ms
-        with anyio.move_on_after(limit_ms / _MS_PER_S):
+        with anyio.move_on_after(self.settings.timing.stop_limit_ms / _MS_PER_S):
             await self._wait_until_idle()
         cut = self._count_in_flight()
         if cut:
             _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
-            self.entry.cancel_all()
-            self.serving.cancel_all()
-        await self.callers.async_unload()
+            self.path.entry.cancel_all()
+            self.path.serving.cancel_all()
+        await self.path.callers.async_unload()
         await anyio.sleep(STOP_POLL_MS / _MS_PER_S)
-        await self.links.async_unload()
-        await self.backend.async_unload()
+        await self.shared.links.async_unload()
+        await self.path.backend.async_unload()
         _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
         return cut == 0
 
@@ -212,186 +205,88 @@
         is_busy = True
         while is_busy:
             await anyio.sleep(STOP_POLL_MS / _MS_PER_S)
-            is_busy = self._count_in_flight() > 0 or not self.slots.ownership.is_drained
+            is_drained = self.shared.slots.ownership.is_drained
+            is_busy = self._count_in_flight() > 0 or not is_drained
 
     def _count_in_flight(self) -> int:
-        return self.entry.in_flight + self.serving.in_flight
+        return self.path.entry.in_flight + self.path.serving.in_flight
+
+    # the platform's list
 
-    # platform
+    def _make_client(self, resource: Resource, url: str) -> PlatformClient:
+        return PlatformClient(resource, url, self.settings.timing, self._http)
 
-    async def _run_platform(self, http: Any) -> None:
+    async def _run_list(self) -> None:
         send, receive = anyio.create_memory_object_stream[ReadResult](RESULT_BUFFER)
-        platform, timing = self.settings.platform, self.settings.timing
-        for resource, url in (
-            (Resource.DOCUMENT, platform.config_url),
-            (Resource.VMS, platform.vms_url),
-        ):
-            client = PlatformClient(resource, url, timing, http)
-            backoff = Backoff(timing.backoff_first_ms, timing.backoff_max_ms, self._random)
-            self.tasks.start_soon(async_watch_platform, client, send, backoff, self.clock)
-        await self._take_results(receive)
+        timing = self.settings.timing
+        backoff = Backoff(timing.backoff_first_ms, timing.backoff_max_ms, self.identity.random)
+        self.tasks.start_soon(async_watch_platform, self._list_client, send, backoff, self.clock)
+        await self._take_lists(receive)
 
-    async def _take_results(self, results: MemoryObjectReceiveStream[ReadResult]) -> None:
+    async def _take_lists(self, results: MemoryObjectReceiveStream[ReadResult]) -> None:
         async for result in results:
-            match result:
-                case DocumentRead(raw, _):
-                    self._take_document(raw)
-                case ListRead(vm_list):
-                    self._take_list(vm_list)
-                case NoNews(Resource.DOCUMENT, _):
-                    self.document_age_from_ms = self.clock.now_ms()
-                case NoNews() | ReadFailed():
-                    pass
-
-    def _take_document(self, raw: bytes) -> None:
-        document = validate_document(raw)
-        before = self.document.version if self.document else None
-        if isinstance(document, DocumentErrors):
-            self.audit.record(
-                "configuration", "document", "refused", str(document), from_version=before
-            )
-            return
-        self.document_age_from_ms = self.clock.now_ms()
-        if before is not None and document.version <= before:
-            return
-        self.document = document
-        self.audit.record(
-            "configuration",
-            "document",
-            "accepted",
-            from_version=before,
-            to_version=document.version,
-        )
-        self.fleet.apply_document(document)
-        self.entry.end_withdrawn(document)
-        self.serving.end_withdrawn(document)
-        self._apply_slots()
+            if isinstance(result, ListRead):
+                # a watch may have begun before a pause of the process
+                self._take_list(result.vms, None)
 
-    def _take_list(self, vm_list: VmList) -> None:
+    def _take_list(self, vm_list: VmList, requested_at_ms: int | None) -> None:
         if self.vm_list is not None and vm_list.version < self.vm_list.version:
             return
         self.vm_list = vm_list
-        self.fleet.apply_list(vm_list)
-        self.slots.apply_list(vm_list)
+        self.shared.fleet.apply_list(vm_list)
+        self.shared.configuration.apply_list(vm_list)
+        self.shared.slots.apply_list(vm_list, requested_at_ms)
+        if requested_at_ms is not None or not self.shared.slots.ownership.needs_list:
+            self.is_list_current = True
+        self._apply_slots()
+
+    async def _read_list_anew(self) -> None:
+        """Read the list until it succeeds; the daemon takes no calls before."""
+        timing = self.settings.timing
+        backoff = Backoff(timing.backoff_first_ms, timing.backoff_max_ms, self.identity.random)
+        while True:
+            requested_at_ms = self.clock.now_ms()
+            result = await self._list_client.async_read()
+            if isinstance(result, ListRead):
+                self._take_list(result.vms, requested_at_ms)
+                return
+            if isinstance(result, ReadFailed):
+                _LOGGER.info("list_read_failed", extra={"reason": result.reason})
+            await anyio.sleep(backoff.next_ms() / _MS_PER_S)
+
+    # configuration and gaps
+
+    def _put_in_force(self, document: Document) -> None:
+        self.shared.fleet.apply_document(document)
+        ended = self.path.entry.end_withdrawn(document)
+        ended += self.path.serving.end_withdrawn(document)
+        if ended:
+            _LOGGER.info("withdrawn_calls_ended", extra={"calls": ended})
         self._apply_slots()
 
     def _apply_slots(self) -> None:
-        if self.document is None or self.vm_list is None:
+        document = self.shared.configuration.document
+        if document is None or self.vm_list is None:
             return
-        self.rates.apply_document(self.document, domains_of(self.vm_list))
-        self.slots.apply_slots(list_slots(self.rates.shares, self.document))
-
-    # building
-
-    def _build(self, settings: Settings) -> None:
-        tls = settings.tls
-        material = PeerMaterial(tls.peer_certificate, tls.peer_key, tls.peer_ca)
-        self.links = LinkPool(self, self.own_vm, self.incarnation, material, self.clock)
-        self.fleet = FleetView(
-            FailureDomain(settings.vm.failure_domain),
-            self._random,
-            self.clock,
-            is_usable=lambda vm_id: True,
-            is_connected=lambda vm_id: vm_id == self.own_vm or self.links.find(vm_id) is not None,
-        )
-        self.control = ControlPlane(
-            self.own_vm, self.incarnation, self.links, self.tasks, self.fleet.find_vm
-        )
-        self._build_shared()
-        self._build_call_path(settings)
-
-    def _build_shared(self) -> None:
-        limits = LimitsConfig()
-        ownership = OwnershipConfig(longest_lease_ms=limits.lease_ms)
-        self.slots = SlotTable(
-            Ownership(self.own_vm, self.incarnation, self.clock.now_ms(), ownership),
-            self.clock,
-            self.audit,
-            self.control.send,
-        )
-        domain = FailureDomain(self.settings.vm.failure_domain)
-        self.rates = Rates(
-            AccountBudget(self.own_vm, domain, self.incarnation, limits),
-            SliceOwner(limits),
-            self.clock,
-            self.control.send,
-            self.slots,
-        )
-        self.slots.keepers[SlotFamily.RATE] = self.rates
-        self.control.register(
-            lambda sender, _, message: self.rates.handle_request(sender, message), BorrowRequest
-        )
-        self.control.register(
-            lambda sender, _, message: self.rates.handle_reply(sender, message), BorrowReply
-        )
-        self.control.register(
-            self.slots.handle,
-            *(Hello, HelloReply, Claim, ClaimReply, Offer, OfferReply),
-            *(HandOver, HandOverReply, Farewell),
-        )
-
-    def _build_call_path(self, settings: Settings) -> None:
-        registry = CallRegistry()
-        levels = ChainLevels()
-        self.backend = BackendServer(settings.backend, self.clock)
-        gate = AdmissionGate(
-            settings.backend.slots, settings.vm.service, self.own_vm, AdmissionConfig()
-        )
-        self.crashes = CrashWatch(
-            PoisonDetector(self.own_vm, str(self.incarnation)),
-            self.backend,
-            self.clock,
-            self._list_service_peers,
-            self.control.send,
-        )
-        self.control.register(self.crashes.handle_report, CrashReport, SuspicionCleared)
-        self.serving = ServingPort(
-            gate,
-            self.backend,
-            registry,
-            levels,
-            self.clock,
-            self.own_vm,
-            lambda: self.document,
-            self.crashes,
-        )
-        self.health = HealthPoller(self.backend, self.serving, settings.timing.poll_ms)
-        forwarder = Forwarder(
-            self.fleet, self.links, self.clock, self._random, self.own_vm, self._serve_locally
-        )
-        self.once = OnceRouter(forwarder, self.serving)
-        self.slots.keepers[SlotFamily.LEDGER] = self.once
-        self.entry = EntryPort(
-            registry,
-            forwarder,
-            self.once,
-            self.rates,
-            levels,
-            self.metrics,
-            self.clock,
-            read_document=lambda: self.document,
-            check_ready=self._check_ready,
-        )
-        self.callers = CallerPort(self.entry, self.tasks, settings.tls)
+        self.shared.rates.apply_document(document, domains_of(self.vm_list))
+        self.shared.slots.apply_slots(list_slots(self.shared.rates.shares, document))
 
-    def _serve_locally(self, call: LocalCall, head: CallHead) -> None:
-        self.tasks.start_soon(self.once.serve, call, head)
+    def _handle_gap(self) -> None:
+        """Drop what rests on the view from before a pause, and learn anew."""
+        self.is_list_current = False
+        self.shared.rates.budget.drop_all()
+        self.shared.slots.note_progress()
+        self.shared.configuration.wake()
+        self.tasks.start_soon(self._read_list_anew)
 
     def _check_ready(self) -> Refusal | None:
-        if self.stopping.is_set():
-            return Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
-        if self.document is None:
-            return _not_ready("no configuration is in force yet")
-        if self.vm_list is None:
+        self.gaps.observe()
+        if self.vm_list is None or not self.is_list_current:
             return _not_ready("the list of VMs has not been read yet")
+        if not self.shared.configuration.is_ready:
+            return _not_ready("the configuration in force has not been learned yet")
         return None
 
-    def _list_service_peers(self) -> list[VmId]:
-        if self.vm_list is None:
-            return []
-        members = self.vm_list.of_service(self.settings.vm.service)
-        return [vm.vm_id for vm in members if vm.vm_id != self.own_vm]
-
     def _describe_peers(self) -> list[dict[str, Any]]:
         if self.vm_list is None:
             return []
@@ -399,10 +294,10 @@
             {
                 "vm": vm.vm_id,
                 "state": vm.state.value,
-                "connected": self.links.find(vm.vm_id) is not None,
+                "connected": self.shared.links.find(vm.vm_id) is not None,
             }
             for vm in self.vm_list
-            if vm.vm_id != self.own_vm
+            if vm.vm_id != self.identity.vm_id
         ]
 
 
@@ -419,8 +314,11 @@
         Whether the stop cut off no call.
     """
     results: list[bool] = []
-    async with anyio.create_task_group() as tasks:
-        daemon = Daemon(settings, Clock(), tasks)
+    async with (
+        make_http_client(settings.platform, settings.vm.id) as http,
+        anyio.create_task_group() as tasks,
+    ):
+        daemon = Daemon(settings, Clock(), tasks, http)
         tasks.start_soon(_watch_signals, daemon)
         results.append(await daemon.run())
     # a second signal cancels the group before the stop is complete
@@ -432,8 +330,8 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             if daemon.stopping.is_set():
-                _LOGGER.warning("stop_forced", extra={"calls_cut": daemon.entry.cancel_all()})
-                daemon.serving.cancel_all()
+                cut = daemon.path.entry.cancel_all() + daemon.path.serving.cancel_all()
+                _LOGGER.warning("stop_forced", extra={"calls_cut": cut})
                 daemon.tasks.cancel_scope.cancel()
                 return
             daemon.start_drain()
--- a/libs/daemon/src/wisteriaproxy/control/control.capnp
+++ b/libs/daemon/src/wisteriaproxy/control/control.capnp
@@ -60,6 +60,30 @@
   sole @3 :Bool;
 }
 
+struct DocumentChunk {
+  version @0 :Int64;
+  digest @1 :Data;
+  offset @2 :Int64;
+  totalBytes @3 :Int64;
+  data @4 :Data;
+}
+
+struct DocumentDelta {
+  version @0 :Int64;
+  digest @1 :Data;
+  baseVersion @2 :Int64;
+  baseDigest @3 :Data;
+  body @4 :Data;
+}
+
+struct DocumentFetch {
+  version @0 :Int64;
+  digest @1 :Data;
+  baseVersion @2 :Int64;
+  baseDigest @3 :Data;
+  offset @4 :Int64;
+}
+
 struct Farewell {
   listVersion @0 :Int64;
   grants @1 :List(SlotGrant);
@@ -153,3 +177,16 @@
   fingerprint @0 :Data;
   crashIds @1 :List(Text);
 }
+
+struct VersionAnnounce {
+  version @0 :Int64;
+  digest @1 :Data;
+  confirmedAgeMs @2 :Int64;
+  revision @3 :Int64;
+  ready @4 :Bool;
+  nonce @5 :Int64;
+}
+
+struct VersionQuery {
+  nonce @0 :Int64;
+}
--- a/libs/daemon/src/wisteriaproxy/control/kinds.py
+++ b/libs/daemon/src/wisteriaproxy/control/kinds.py
@@ -2,6 +2,13 @@
 
 from typing import Any
 
+from wisteria_config.dissemination import (
+    DocumentChunk,
+    DocumentDelta,
+    DocumentFetch,
+    VersionAnnounce,
+    VersionQuery,
+)
 from wisteria_limits import BorrowReply, BorrowRequest
 from wisteria_ownership import (
     Claim,
@@ -29,6 +36,11 @@
     16: HandOver,
     17: HandOverReply,
     18: Farewell,
+    20: VersionQuery,
+    21: VersionAnnounce,
+    22: DocumentFetch,
+    23: DocumentDelta,
+    24: DocumentChunk,
     30: CrashReport,
     31: SuspicionCleared,
 }
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -47,6 +47,12 @@
         """Return the retry budget of a configured service."""
         return self._budgets.get(service)
 
+    def list_service_peers(self, service: str, own_vm: VmId) -> list[VmId]:
+        """Return the other VMs of a service."""
+        if self.vm_list is None:
+            return []
+        return [vm.vm_id for vm in self.vm_list.of_service(service) if vm.vm_id != own_vm]
+
     def apply_list(self, vm_list: VmList) -> None:
         """Put a version of the list in force."""
         self.vm_list = vm_list
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -0,0 +1,250 @@
+"""Builds the parts of a daemon and connects them."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import attrs
+from anyio.abc import TaskGroup
+
+from wisteria_admission import AdmissionConfig, AdmissionGate, ChainLevels
+from wisteria_config import Document
+from wisteria_config.dissemination import (
+    Disseminator,
+    DocumentChunk,
+    DocumentDelta,
+    DocumentFetch,
+    VersionAnnounce,
+    VersionQuery,
+)
+from wisteria_core import Clock, FailureDomain, Refusal, VmId
+from wisteria_limits import AccountBudget, BorrowReply, BorrowRequest, LimitsConfig, SliceOwner
+from wisteria_ownership import (
+    Claim,
+    ClaimReply,
+    Farewell,
+    HandOver,
+    HandOverReply,
+    Hello,
+    HelloReply,
+    Offer,
+    OfferReply,
+    Ownership,
+    OwnershipConfig,
+    SlotFamily,
+)
+from wisteria_routing import CrashReport, PoisonDetector, SuspicionCleared
+from wisteria_wire import CallHead, LinkOwner, LinkPool, PeerMaterial
+
+from .audit import AuditTrail
+from .backend import BackendServer
+from .callers import CallerPort
+from .calls import CallRegistry
+from .configuration import ConfigurationKeeper
+from .control.plane import ControlPlane
+from .crashes import CrashWatch
+from .entry import EntryPort
+from .fleet import FleetView
+from .forward import Forwarder
+from .health import HealthPoller
+from .metrics import Metrics
+from .once import OnceRouter
+from .platform import PlatformClient
+from .rates import Rates
+from .responders import LocalCall
+from .serving import ServingPort
+from .settings import Settings
+from .slots import SlotTable
+
+
+@attrs.frozen(eq=False)
+class Identity:
+    """What every part of one daemon needs.
+
+    Parameters
+    ----------
+    incarnation : int
+        Rises with each start of the daemon on its VM.
+    """
+
+    settings: Settings
+    clock: Clock
+    tasks: TaskGroup
+    incarnation: int
+    random: Random
+    audit: AuditTrail
+    metrics: Metrics
+
+    @property
+    def vm_id(self) -> VmId:
+        """Name of the own VM."""
+        return VmId(self.settings.vm.id)
+
+    @property
+    def failure_domain(self) -> FailureDomain:
+        """Failure domain of the own VM."""
+        return FailureDomain(self.settings.vm.failure_domain)
+
+
+@attrs.frozen(eq=False)
+class SharedParts:
+    """Parts that keep what the fleet shares: links, configuration, slots, rates."""
+
+    links: LinkPool
+    fleet: FleetView
+    control: ControlPlane
+    configuration: ConfigurationKeeper
+    slots: SlotTable
+    rates: Rates
+
+
+@attrs.frozen(eq=False)
+class CallParts:
+    """Parts on the path of a call."""
+
+    backend: BackendServer
+    health: HealthPoller
+    serving: ServingPort
+    once: OnceRouter
+    entry: EntryPort
+    callers: CallerPort
+
+
+def build_shared(
+    identity: Identity,
+    owner: LinkOwner,
+    client: PlatformClient,
+    put_in_force: Callable[[Document], None],
+) -> SharedParts:
+    """Return the shared parts, with their control messages registered."""
+    settings, clock = identity.settings, identity.clock
+    material = PeerMaterial(
+        settings.tls.peer_certificate, settings.tls.peer_key, settings.tls.peer_ca
+    )
+    links = LinkPool(owner, identity.vm_id, identity.incarnation, material, clock)
+    fleet = FleetView(
+        identity.failure_domain,
+        identity.random,
+        clock,
+        is_usable=lambda vm_id: True,
+        is_connected=lambda vm_id: vm_id == identity.vm_id or links.find(vm_id) is not None,
+    )
+    control = ControlPlane(
+        identity.vm_id, identity.incarnation, links, identity.tasks, fleet.find_vm
+    )
+    slots, rates = _build_slots(identity, control)
+    configuration = ConfigurationKeeper(
+        Disseminator(identity.vm_id, identity.failure_domain, identity.incarnation),
+        client,
+        clock,
+        identity.audit,
+        identity.tasks,
+        control.send,
+        put_in_force,
+    )
+    control.register(
+        configuration.handle,
+        *(VersionQuery, VersionAnnounce, DocumentFetch, DocumentDelta, DocumentChunk),
+    )
+    return SharedParts(links, fleet, control, configuration, slots, rates)
+
+
+def _build_slots(identity: Identity, control: ControlPlane) -> tuple[SlotTable, Rates]:
+    clock, limits = identity.clock, LimitsConfig()
+    ownership = OwnershipConfig(
+        longest_lease_ms=limits.lease_ms, fence_ms=identity.settings.timing.loop_gap_ms
+    )
+    slots = SlotTable(
+        Ownership(identity.vm_id, identity.incarnation, clock.now_ms(), ownership),
+        clock,
+        identity.audit,
+        control.send,
+    )
+    rates = Rates(
+        AccountBudget(identity.vm_id, identity.failure_domain, identity.incarnation, limits),
+        SliceOwner(limits),
+        clock,
+        control.send,
+        slots,
+    )
+    slots.keepers[SlotFamily.RATE] = rates
+    control.register(_without_incarnation(rates.handle_request), BorrowRequest)
+    control.register(_without_incarnation(rates.handle_reply), BorrowReply)
+    control.register(
+        slots.handle,
+        *(Hello, HelloReply, Claim, ClaimReply, Offer, OfferReply),
+        *(HandOver, HandOverReply, Farewell),
+    )
+    return slots, rates
+
+
+def _without_incarnation(
+    handle: Callable[[VmId, Any], None],
+) -> Callable[[VmId, int, Any], None]:
+    return lambda sender, _, message: handle(sender, message)
+
+
+def build_call_path(
+    identity: Identity,
+    shared: SharedParts,
+    check_ready: Callable[[], Refusal | None],
+) -> CallParts:
+    """Return the parts on the path of a call."""
+    settings, clock = identity.settings, identity.clock
+    registry, levels = CallRegistry(), ChainLevels()
+    backend = BackendServer(settings.backend, clock)
+    serving = ServingPort(
+        gate=AdmissionGate(
+            settings.backend.slots, settings.vm.service, identity.vm_id, AdmissionConfig()
+        ),
+        backend=backend,
+        registry=registry,
+        levels=levels,
+        clock=clock,
+        vm_id=identity.vm_id,
+        read_document=lambda: shared.configuration.document,
+        check_ready=check_ready,
+        crashes=_build_crash_watch(identity, shared, backend),
+    )
+
+    def serve_locally(call: LocalCall, head: CallHead) -> None:
+        identity.tasks.start_soon(once.serve, call, head)
+
+    forwarder = Forwarder(
+        shared.fleet, shared.links, clock, identity.random, identity.vm_id, serve_locally
+    )
+    once = OnceRouter(forwarder, serving)
+    shared.slots.keepers[SlotFamily.LEDGER] = once
+    entry = EntryPort(
+        registry=registry,
+        forwarder=forwarder,
+        once=once,
+        rates=shared.rates,
+        levels=levels,
+        metrics=identity.metrics,
+        clock=clock,
+        read_document=lambda: shared.configuration.document,
+        check_ready=check_ready,
+    )
+    return CallParts(
+        backend=backend,
+        health=HealthPoller(backend, serving, settings.timing.poll_ms),
+        serving=serving,
+        once=once,
+        entry=entry,
+        callers=CallerPort(entry, identity.tasks, settings.tls),
+    )
+
+
+def _build_crash_watch(
+    identity: Identity, shared: SharedParts, backend: BackendServer
+) -> CrashWatch:
+    crashes = CrashWatch(
+        PoisonDetector(identity.vm_id, str(identity.incarnation)),
+        backend,
+        identity.clock,
+        lambda: shared.fleet.list_service_peers(identity.settings.vm.service, identity.vm_id),
+        shared.control.send,
+    )
+    shared.control.register(crashes.handle_report, CrashReport, SuspicionCleared)
+    return crashes
--- a/libs/daemon/src/wisteriaproxy/platform.py
+++ b/libs/daemon/src/wisteriaproxy/platform.py
@@ -194,9 +194,15 @@
         """Read the published version."""
         return await self._async_get({}, self._timing.read_timeout_ms)
 
-    async def async_watch(self, version: int) -> ReadResult:
-        """Wait until a version later than `version` is published, or for the watch's time."""
-        watch_ms = self._timing.watch_timeout_ms
+    async def async_watch(self, version: int, wait_ms: int | None = None) -> ReadResult:
+        """Wait until a version later than `version` is published, or for the watch's time.
+
+        Parameters
+        ----------
+        wait_ms : int, optional
+            Longest wait; that of the settings by default.
+        """
+        watch_ms = self._timing.watch_timeout_ms if wait_ms is None else wait_ms
         params = {"watch": str(version), "timeout_ms": str(watch_ms)}
         result = await self._async_get(params, watch_ms + self._timing.read_timeout_ms)
         return NoNews(self.resource, version) if result is _NOTHING_LATER else result
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -72,6 +72,8 @@
     ----------
     read_document : callable
         Returns the configuration in force, or None before the first one.
+    check_ready : callable
+        Returns the refusal of a daemon whose view may be outdated, or None.
     """
 
     gate: AdmissionGate
@@ -81,6 +83,7 @@
     clock: Clock
     vm_id: str
     read_document: Callable[[], Document | None]
+    check_ready: Callable[[], Refusal | None]
     crashes: CrashWatch
     is_stopping: bool = False
     is_draining: bool = False
@@ -172,6 +175,9 @@
         return self._check_key(head)
 
     def _check_key(self, head: CallHead) -> Refusal | None:
+        not_ready = self.check_ready()
+        if not_ready is not None:
+            return not_ready
         document = self.read_document()
         if document is None:
             return Refusal(ResultCode.NOT_READY, "no configuration is in force yet")
--- a/libs/daemon/src/wisteriaproxy/slots.py
+++ b/libs/daemon/src/wisteriaproxy/slots.py
@@ -113,6 +113,10 @@
         """Take in whether the daemon of a VM can be reached."""
         self._carry_out(self.ownership.note_reachable(self.clock.now_ms(), vm_id, is_reachable))
 
+    def note_progress(self) -> None:
+        """Tell ownership that the loop runs, so that a gap is noticed now."""
+        self._carry_out(self.ownership.note_progress(self.clock.now_ms()))
+
     def begin_stop(self) -> None:
         """Hand every slot over."""
         self._carry_out(self.ownership.begin_stop(self.clock.now_ms()))
