Add dissemination of the document as a pure state machine

Cause: a document has to be in force everywhere within seconds without every VM watching. Ruled out: validating the whole again for each delta (85 ms for 300 KB against the delta's own objects plus the checks across parts); announcements that carry the delta to each neighbour. Before: nothing.

--- /dev/null
+++ b/libs/config/src/wisteria_config/dissemination/machine.py
@@ -0,0 +1,379 @@
+"""The state machine that keeps one daemon's document up to date."""
+
+from collections.abc import Collection
+
+from wisteria_core import FailureDomain, VmId, VmList, digest
+
+from ..canonical import document_digest
+from ..changes import describe_changes
+from ..models import Document, DocumentErrors
+from ..validation import validate_document
+from ..versions import VersionOrder, VersionStamp, compare_versions
+from .config import DisseminationConfig
+from .fetcher import Fetched, Fetcher, Held
+from .history import History
+from .learning import Answer, Learning
+from .memory import BoundedMap
+from .models import (
+    NEVER_CONFIRMED,
+    NO_VERSION,
+    Action,
+    AuditEntry,
+    AuditOutcome,
+    DocumentChunk,
+    DocumentDelta,
+    DocumentFetch,
+    InForce,
+    Message,
+    ReadyChanged,
+    SendTo,
+    ServiceDocument,
+    ServiceFailed,
+    ServiceOutcome,
+    VersionAnnounce,
+    VersionQuery,
+)
+from .overlay import FleetView
+from .reads import ReadSchedule
+
+_NONCE_ROUNDS = 1 << 16
+_MAX_REMEMBERED = 64
+_MAX_REASONS = 10
+_FROM_SERVICE = "the configuration service"
+
+
+class Disseminator:
+    """Keeps the highest valid version in force and passes it on.
+
+    Each method takes the time in milliseconds and returns the actions to carry out, in order.
+
+    Parameters
+    ----------
+    vm_id : VmId
+        Own VM.
+    failure_domain : FailureDomain
+        Its failure domain.
+    incarnation : int
+        Differs between starts of the daemon on one VM, below 2**47.
+    config : DisseminationConfig
+        Intervals and limits.
+    """
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        failure_domain: FailureDomain,
+        incarnation: int,
+        config: DisseminationConfig | None = None,
+    ) -> None:
+        self.config = config or DisseminationConfig()
+        self.fleet = FleetView(vm_id, failure_domain, self.config)
+        self.ready = False
+        self.stale_answers = 0
+        self.conflicts = 0
+        self.confirmed_ms: int | None = None
+        self.history = History(self.config.max_delta_log_bytes)
+        self.reads = ReadSchedule(vm_id, self.config)
+        self.learning = Learning(incarnation * _NONCE_ROUNDS + 1, 0)
+        self.refused: BoundedMap[VersionStamp, str] = BoundedMap(_MAX_REMEMBERED)
+        self.fetcher = Fetcher(self.config, self.refused, self.fleet.is_near)
+        self._seen_raw: BoundedMap[bytes, VersionStamp | None] = BoundedMap(_MAX_REMEMBERED)
+        self._next_announce_ms = 0
+        self._actions: list[Action] = []
+
+    @property
+    def document(self) -> Document | None:
+        """Return the document in force."""
+        return self.history.document
+
+    @property
+    def stamp(self) -> VersionStamp | None:
+        """Return the identity of the document in force."""
+        return self.history.stamp
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or `NO_VERSION`."""
+        return self.history.stamp.version if self.history.stamp else NO_VERSION
+
+    def age_ms(self, now_ms: int) -> int:
+        """Return the time since the service was last heard, or `NEVER_CONFIRMED`."""
+        return NEVER_CONFIRMED if self.confirmed_ms is None else now_ms - self.confirmed_ms
+
+    # Events
+
+    def start(self, now_ms: int) -> list[Action]:
+        """Begin to learn; the VM is not ready."""
+        self._learn(now_ms)
+        return self._step(now_ms)
+
+    def handle_wake(self, now_ms: int) -> list[Action]:
+        """Learn anew after a pause in which versions may have passed by unheard."""
+        if self.ready:
+            self.ready = False
+            self._actions.append(ReadyChanged(False))
+        self._learn(now_ms)
+        return self._step(now_ms)
+
+    def handle_vm_list(
+        self, vms: VmList, now_ms: int, avoided: Collection[VmId] = ()
+    ) -> list[Action]:
+        """Take a list of the platform, and the VMs that are known to be of no use now."""
+        self.fleet.take_list(vms, avoided)
+        self.reads.is_reader = self.fleet.is_reader
+        self.fetcher.keep_offers_of(self.fleet.domains)
+        return self._step(now_ms)
+
+    def handle_message(self, source: VmId, message: Message, now_ms: int) -> list[Action]:
+        """Take a message of an authenticated peer."""
+        match message:
+            case VersionQuery():
+                self._send(source, self._announcement(now_ms, message.nonce))
+            case VersionAnnounce():
+                self._take_announcement(source, message, now_ms)
+            case DocumentFetch():
+                self._serve(source, message, now_ms)
+            case DocumentDelta() | DocumentChunk():
+                self._take_part(source, message, now_ms)
+        return self._step(now_ms)
+
+    def handle_service(self, outcome: ServiceOutcome, now_ms: int) -> list[Action]:
+        """Take the outcome of a read."""
+        failed = isinstance(outcome, ServiceFailed)
+        if self.reads.finish(outcome.read_id, now_ms, failed) and not failed:
+            if isinstance(outcome, ServiceDocument):
+                self._take_published(outcome, now_ms)
+            else:
+                self.reads.note_news()
+                self._confirm(now_ms)
+        return self._step(now_ms)
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Do what is due; call it some ten times a second."""
+        return self._step(now_ms)
+
+    # What is due
+
+    def _step(self, now_ms: int) -> list[Action]:
+        self._ask_peers(now_ms)
+        self._become_ready(now_ms)
+        self._request(self.fetcher.check_progress(self._held(), now_ms))
+        self._announce_in_turn(now_ms)
+        read = self.reads.take_due(now_ms)
+        if read is not None:
+            self._actions.append(read)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def _learn(self, now_ms: int) -> None:
+        self.learning = Learning(self.learning.nonce + 1, now_ms, now_ms)
+        self.reads.restart(now_ms)
+        self.fetcher.clear()
+        self._next_announce_ms = now_ms + self.config.announce_interval_ms
+
+    def _ask_peers(self, now_ms: int) -> None:
+        learning = self.learning
+        if self.ready or self.fleet.vms is None or now_ms < learning.next_ask_ms:
+            return
+        learning.next_ask_ms = now_ms + self.config.ask_interval_ms
+        peers = self.fleet.pick_peers_to_ask(learning.turn)
+        learning.turn += 1
+        learning.asked.update(peers)
+        for vm_id in peers:
+            self._send(vm_id, VersionQuery(learning.nonce))
+
+    def _become_ready(self, now_ms: int) -> None:
+        if self.ready or self.fleet.vms is None or self.stamp is None:
+            return
+        required = self.learning.required_version(self.fleet.domains, self.refused)
+        if self.stamp.version < required:
+            return
+        if self.learning.has_heard_enough(self.fleet.domains, self.config, now_ms):
+            self.ready = True
+            self._actions.append(ReadyChanged(True))
+
+    def _announce_in_turn(self, now_ms: int) -> None:
+        if now_ms < self._next_announce_ms:
+            return
+        self._next_announce_ms = now_ms + self.config.announce_interval_ms
+        neighbour = self.fleet.next_neighbour()
+        if neighbour is not None:
+            self._send(neighbour, self._announcement(now_ms))
+
+    # Announcements
+
+    def _announcement(self, now_ms: int, nonce: int = 0) -> VersionAnnounce:
+        stamp = self.stamp or VersionStamp(NO_VERSION, b"")
+        age_ms = self.age_ms(now_ms)
+        return VersionAnnounce(
+            stamp.version, stamp.digest, age_ms, self.reads.revision, self.ready, nonce
+        )
+
+    def _take_announcement(self, source: VmId, message: VersionAnnounce, now_ms: int) -> None:
+        stamp = message.stamp
+        if message.nonce and message.nonce == self.learning.nonce:
+            self.learning.record(source, Answer(stamp, message.ready))
+        order = VersionOrder.OLDER if stamp is None else compare_versions(stamp, self.stamp)
+        if stamp is None or order is VersionOrder.OLDER:
+            self._answer_older(source, message, now_ms)
+        elif order is VersionOrder.SAME:
+            self._confirm_by_peer(message, now_ms)
+        elif order is VersionOrder.CONFLICT:
+            self._refuse_conflict(stamp, f"VM {source}")
+        elif stamp not in self.refused:
+            self._request(self.fetcher.take_offer(source, stamp, self._held(), now_ms))
+
+    def _answer_older(self, source: VmId, message: VersionAnnounce, now_ms: int) -> None:
+        """Tell a peer that is behind what is in force here; an answer needs no answer."""
+        if message.nonce == 0 and self.stamp is not None:
+            self._send(source, self._announcement(now_ms))
+
+    def _confirm_by_peer(self, message: VersionAnnounce, now_ms: int) -> None:
+        self.reads.revision = max(self.reads.revision, message.revision)
+        if message.confirmed_age_ms != NEVER_CONFIRMED:
+            self._confirm(now_ms - message.confirmed_age_ms)
+
+    def _confirm(self, at_ms: int) -> None:
+        if self.confirmed_ms is None or at_ms > self.confirmed_ms:
+            self.confirmed_ms = at_ms
+            self.reads.note_confirmation(at_ms)
+
+    # Fetching from peers
+
+    def _held(self) -> Held:
+        return Held(self.document, self.stamp)
+
+    def _request(self, request: SendTo | None) -> None:
+        if request is not None:
+            self._actions.append(request)
+
+    def _serve(self, source: VmId, message: DocumentFetch, now_ms: int) -> None:
+        wanted = VersionStamp(message.version, message.digest)
+        if wanted != self.stamp or not 0 <= message.offset < len(self.history.raw):
+            self._send(source, self._announcement(now_ms))
+            return
+        base = VersionStamp(message.base_version, message.base_digest)
+        body = self.history.encode_since(base) if message.base_version else None
+        if body is not None:
+            self._send(source, DocumentDelta(*_fields(wanted), *_fields(base), body))
+            return
+        raw = self.history.raw
+        data = raw[message.offset : message.offset + self.config.chunk_bytes]
+        self._send(source, DocumentChunk(*_fields(wanted), message.offset, len(raw), data))
+
+    def _take_part(self, source: VmId, part: DocumentDelta | DocumentChunk, now_ms: int) -> None:
+        outcome = self.fetcher.take_part(source, part, self._held(), now_ms)
+        if not isinstance(outcome, Fetched):
+            self._request(outcome)
+            return
+        document, raw = outcome.received.outcome, outcome.received.raw
+        if isinstance(document, DocumentErrors):
+            self._refuse_invalid(outcome.stamp, f"VM {source}", document)
+        else:
+            self._accept(document, outcome.stamp, f"VM {source}", now_ms, raw, source)
+        self._request(self.fetcher.refresh(self._held(), now_ms))
+
+    # Reading the service
+
+    def _take_published(self, outcome: ServiceDocument, now_ms: int) -> None:
+        if outcome.revision > self.reads.revision:
+            self.reads.note_news()
+        else:
+            self.reads.back_off(now_ms)
+        key = digest(outcome.raw)
+        if key not in self._seen_raw:
+            self._seen_raw[key] = self._examine(outcome, now_ms)
+        stamp = self._seen_raw[key]
+        if stamp is None or self._judge_published(stamp, outcome.revision):
+            self._deal_with(outcome.revision, now_ms)
+
+    def _examine(self, outcome: ServiceDocument, now_ms: int) -> VersionStamp | None:
+        """Validate a document that was not seen before, and put it in force when newer."""
+        document = validate_document(outcome.raw)
+        if isinstance(document, DocumentErrors):
+            self._audit_invalid(NO_VERSION, _FROM_SERVICE, document)
+            return None
+        stamp = VersionStamp(document.version, document_digest(document))
+        if compare_versions(stamp, self.stamp) is VersionOrder.NEWER:
+            self._deal_with(outcome.revision, now_ms)
+            self._accept(document, stamp, _FROM_SERVICE, now_ms)
+            self._request(self.fetcher.refresh(self._held(), now_ms))
+        return stamp
+
+    def _judge_published(self, stamp: VersionStamp, revision: int) -> bool:
+        """Return False for the answer of a stale replica, which confirms nothing."""
+        match compare_versions(stamp, self.stamp):
+            case VersionOrder.CONFLICT:
+                self._refuse_conflict(stamp, _FROM_SERVICE)
+            case VersionOrder.OLDER:
+                if revision <= self.reads.revision or self.reads.revision == 0:
+                    self.stale_answers += 1
+                    return False
+                reason = f"version {self.version} is in force"
+                self._audit(stamp.version, AuditOutcome.REFUSED_LOWER, _FROM_SERVICE, reason)
+        return True
+
+    def _deal_with(self, revision: int, now_ms: int) -> None:
+        self.reads.revision = max(self.reads.revision, revision)
+        self._confirm(now_ms)
+
+    # Verdicts
+
+    def _accept(
+        self,
+        document: Document,
+        stamp: VersionStamp,
+        origin: str,
+        now_ms: int,
+        raw: bytes | None = None,
+        told: VmId | None = None,
+    ) -> None:
+        previous = self.document
+        if compare_versions(stamp, self.stamp) is not VersionOrder.NEWER:
+            return
+        reason = _describe_replacement(previous, document)
+        self._audit(stamp.version, AuditOutcome.ACCEPTED, origin, reason)
+        self.history.put(document, stamp, raw)
+        self._actions.append(InForce(document, stamp, previous))
+        for neighbour in self.fleet.neighbours:
+            if neighbour != told:
+                self._send(neighbour, self._announcement(now_ms))
+
+    def _refuse_invalid(self, stamp: VersionStamp, origin: str, errors: DocumentErrors) -> None:
+        self.refused[stamp] = origin
+        self._audit_invalid(stamp.version, origin, errors)
+
+    def _audit_invalid(self, version: int, origin: str, errors: DocumentErrors) -> None:
+        words = _join(tuple(f"{error.place} {error.problem}" for error in errors.errors))
+        self._audit(version, AuditOutcome.REFUSED_INVALID, origin, words)
+
+    def _refuse_conflict(self, stamp: VersionStamp, origin: str) -> None:
+        if stamp in self.refused:
+            return
+        self.refused[stamp] = origin
+        self.conflicts += 1
+        reason = "the first accepted stays; publish a higher version"
+        self._audit(stamp.version, AuditOutcome.REFUSED_CONFLICT, origin, reason)
+
+    def _audit(self, to_version: int, outcome: AuditOutcome, origin: str, reason: str) -> None:
+        words = f"from {origin}: {reason}"
+        self._actions.append(AuditEntry("configuration", self.version, to_version, outcome, words))
+
+    def _send(self, vm_id: VmId, message: Message) -> None:
+        self._actions.append(SendTo(vm_id, message))
+
+
+def _fields(stamp: VersionStamp) -> tuple[int, bytes]:
+    return stamp.version, stamp.digest
+
+
+def _describe_replacement(old: Document | None, new: Document) -> str:
+    if old is None:
+        return "first document"
+    return _join(describe_changes(old, new)) or "no change but the version"
+
+
+def _join(reasons: tuple[str, ...]) -> str:
+    left = len(reasons) - _MAX_REASONS
+    more = (f"and {left} more",) if left > 0 else ()
+    return "; ".join(reasons[:_MAX_REASONS] + more)
--- /dev/null
+++ b/libs/config/src/wisteria_config/dissemination/overlay.py
@@ -0,0 +1,135 @@
+"""Who reads the service, and who passes news to whom.
+
+Every VM works this out alone from its list; lists that differ cost efficiency, not safety.
+"""
+
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from wisteria_core import (
+    FailureDomain,
+    Vm,
+    VmId,
+    VmList,
+    VmState,
+    rank_by_rendezvous,
+    rendezvous_weight,
+)
+
+from .config import DisseminationConfig
+
+_READER_KEY = "configuration-reader"
+
+
+def live_vms(vms: Iterable[Vm], avoided: Collection[VmId]) -> list[Vm]:
+    """Return the live VMs that are not avoided."""
+    return [vm for vm in vms if vm.state is VmState.LIVE and vm.vm_id not in avoided]
+
+
+def pick_readers(vms: Iterable[Vm], domain: FailureDomain, count: int) -> list[str]:
+    """Return the VMs of a failure domain that watch the configuration service."""
+    names = [vm.vm_id for vm in vms if vm.failure_domain == domain]
+    return rank_by_rendezvous(_READER_KEY, names)[:count]
+
+
+def find_neighbours(vm_id: VmId, vms: Iterable[Vm], rings: int) -> list[VmId]:
+    """Return the next and the previous VM on each of several rings.
+
+    Each ring orders all VMs by a hash of its own, so that the union of the rings is a random
+    regular graph: it stays connected when many VMs fail, and its diameter grows with the
+    logarithm of the fleet.
+    """
+    names = [vm.vm_id for vm in vms if vm.vm_id != vm_id]
+    found: list[VmId] = []
+    for ring in range(rings):
+        found += _find_on_ring(vm_id, names, f"ring-{ring}")
+    return list(dict.fromkeys(found))
+
+
+def _find_on_ring(vm_id: VmId, names: list[VmId], ring: str) -> list[VmId]:
+    if not names:
+        return []
+    own = (rendezvous_weight(ring, vm_id), vm_id)
+    places = [(rendezvous_weight(ring, name), name) for name in names]
+    after = [place for place in places if place > own]
+    before = [place for place in places if place < own]
+    following = min(after or places)
+    preceding = max(before or places)
+    return [following[1], preceding[1]]
+
+
+def pick_peers_to_ask(vm_id: VmId, vms: VmList, per_domain: int, turn: int) -> list[VmId]:
+    """Return peers of every failure domain; each turn goes on to other ones.
+
+    Leaving and avoided VMs are asked as well: they may know a version that nobody else does.
+    """
+    domains: dict[str, list[str]] = {}
+    for vm in vms:
+        if vm.vm_id != vm_id:
+            domains.setdefault(vm.failure_domain, []).append(vm.vm_id)
+    picked: list[VmId] = []
+    for names in domains.values():
+        ranked = rank_by_rendezvous(f"ask-{vm_id}", names)
+        count = min(per_domain, len(ranked))
+        start = turn * per_domain
+        picked += [VmId(ranked[(start + step) % len(ranked)]) for step in range(count)]
+    return picked
+
+
+@attrs.define
+class FleetView:
+    """What a VM makes of the platform's list.
+
+    Parameters
+    ----------
+    vm_id : VmId
+        Own VM.
+    failure_domain : FailureDomain
+        Its failure domain.
+    config : DisseminationConfig
+        Numbers of readers, rings and peers to ask.
+    vms : VmList or None
+        The latest list; None before the first.
+    domains : dict
+        Failure domain of each other VM of the list.
+    neighbours : list of VmId
+        VMs that news is passed to.
+    is_reader : bool
+        Whether the own VM watches the configuration service.
+    """
+
+    vm_id: VmId
+    failure_domain: FailureDomain
+    config: DisseminationConfig
+    vms: VmList | None = None
+    domains: dict[VmId, FailureDomain] = attrs.field(factory=dict)
+    neighbours: list[VmId] = attrs.field(factory=list)
+    is_reader: bool = False
+    _turn: int = 0
+
+    def take_list(self, vms: VmList, avoided: Collection[VmId]) -> None:
+        """Work out readers and neighbours anew."""
+        self.vms = vms
+        self.domains = {vm.vm_id: vm.failure_domain for vm in vms if vm.vm_id != self.vm_id}
+        useful = live_vms(vms, avoided)
+        count = self.config.readers_per_domain
+        self.is_reader = self.vm_id in pick_readers(useful, self.failure_domain, count)
+        self.neighbours = find_neighbours(self.vm_id, useful, self.config.rings)
+
+    def is_near(self, vm_id: VmId) -> bool:
+        """Return whether a VM stands in the own failure domain."""
+        return self.domains.get(vm_id) == self.failure_domain
+
+    def next_neighbour(self) -> VmId | None:
+        """Return one neighbour after the other."""
+        if not self.neighbours:
+            return None
+        self._turn += 1
+        return self.neighbours[self._turn % len(self.neighbours)]
+
+    def pick_peers_to_ask(self, turn: int) -> list[VmId]:
+        """Return the peers to ask for their version in this turn."""
+        if self.vms is None:
+            return []
+        return pick_peers_to_ask(self.vm_id, self.vms, self.config.ask_per_domain, turn)
--- /dev/null
+++ b/libs/config/src/wisteria_config/dissemination/transfer.py
@@ -0,0 +1,113 @@
+"""One fetch of a document from a peer."""
+
+import attrs
+
+from wisteria_core import VmId, digest
+
+from ..canonical import canonical_bytes
+from ..const import MAX_DOCUMENT_BYTES
+from ..delta import apply_delta, decode_delta
+from ..models import Document, DocumentErrors
+from ..validation import validate_document
+from ..versions import VersionStamp
+from .models import NO_VERSION, DocumentChunk, DocumentDelta, DocumentFetch
+
+
+@attrs.frozen
+class TransferFault:
+    """A peer sent something else than what its announcement promised."""
+
+    reason: str
+
+
+@attrs.frozen
+class Received:
+    """A whole document as it came, or the faults that make it invalid."""
+
+    outcome: Document | DocumentErrors
+    raw: bytes
+
+
+@attrs.define
+class Transfer:
+    """The state of a fetch: first a delta is asked for, then the whole in chunks.
+
+    Parameters
+    ----------
+    source : VmId
+        The peer that announced the document.
+    target : VersionStamp
+        The document that is wanted.
+    base : Document or None
+        Document in force here, which a delta may start from.
+    base_stamp : VersionStamp or None
+        Its identity.
+    progress_ms : int
+        When the fetch last made progress.
+    """
+
+    source: VmId
+    target: VersionStamp
+    base: Document | None
+    base_stamp: VersionStamp | None
+    progress_ms: int
+    _buffer: bytearray = attrs.field(factory=bytearray)
+
+    def request(self) -> DocumentFetch:
+        """Return the next request."""
+        base = self.base_stamp
+        return DocumentFetch(
+            version=self.target.version,
+            digest=self.target.digest,
+            base_version=base.version if base else NO_VERSION,
+            base_digest=base.digest if base else b"",
+            offset=len(self._buffer),
+        )
+
+    def fits(self, message: DocumentDelta | DocumentChunk) -> bool:
+        """Return whether `message` belongs to this fetch."""
+        return VersionStamp(message.version, message.digest) == self.target
+
+    def take_delta(self, message: DocumentDelta) -> Received | None:
+        """Return the document that a delta gives, or None when the whole must be fetched."""
+        if self.base is None or self.base_stamp is None:
+            return None
+        base = VersionStamp(message.base_version, message.base_digest)
+        received = self._apply(self.base, message.body) if base == self.base_stamp else None
+        if received is None:
+            self._want_whole()
+        return received
+
+    def _apply(self, base: Document, body: bytes) -> Received | None:
+        delta = decode_delta(body)
+        if isinstance(delta, DocumentErrors):
+            return None
+        outcome = apply_delta(base, delta)
+        if isinstance(outcome, DocumentErrors):
+            return None
+        raw = canonical_bytes(outcome)
+        return Received(outcome, raw) if digest(raw) == self.target.digest else None
+
+    def _want_whole(self) -> None:
+        self.base = None
+        self.base_stamp = None
+
+    def take_chunk(self, message: DocumentChunk) -> Received | TransferFault | None:
+        """Return the whole document once its last chunk is there, or None before."""
+        if message.offset != len(self._buffer):
+            return None
+        if not message.data or message.total_bytes > MAX_DOCUMENT_BYTES:
+            return TransferFault("empty chunk or too long a document")
+        self._want_whole()
+        self._buffer += message.data
+        if len(self._buffer) < message.total_bytes:
+            return None
+        return self._finish(bytes(self._buffer))
+
+    def _finish(self, raw: bytes) -> Received | TransferFault:
+        if digest(raw) != self.target.digest:
+            return TransferFault("the document has another digest than announced")
+        outcome = validate_document(raw)
+        if isinstance(outcome, Document) and canonical_bytes(outcome) != raw:
+            return TransferFault("the document is not in canonical form")
+        return Received(outcome, raw)
--- a/libs/config/src/wisteria_config/references.py
+++ b/libs/config/src/wisteria_config/references.py
@@ -1,59 +1,68 @@
 """Checks across the parts of a document: unique names, references, rules between fields.
 
-They work on parsed JSON that may still have other faults, so that one run names them all.
+They work on parsed JSON that may still have other faults, so that one run names them all, and
+on documents that a delta was applied to.
 """
 
-from collections.abc import Iterator
+import functools
+from collections.abc import Callable, Iterator
 from typing import Any, TypeGuard
 
 import attrs
 
 from .const import PUBLIC_ACCOUNT
-from .models import DocumentError, Service
+from .models import Document, DocumentError, Service
 from .paths import pattern_shape
 
-Part = tuple[str, dict[str, Any]]
+Source = dict[str, Any] | Document
+FieldReader = Callable[[str], Any]
+Part = tuple[str, FieldReader]
 
 
-def _parts(plain: dict[str, Any], section: str) -> Iterator[Part]:
-    """Yield the place and the content of each object of a section."""
-    items = plain.get(section)
+def _parts(source: Source, section: str) -> Iterator[Part]:
+    """Yield the place of each object of a section and a function that reads its fields."""
+    if isinstance(source, Document):
+        for index, part in enumerate(getattr(source, section)):
+            yield f"$.{section}[{index}]", functools.partial(getattr, part)
+        return
+    items = source.get(section)
     if not isinstance(items, list):
         return
     for index, item in enumerate(items):
         if isinstance(item, dict):
-            yield f"$.{section}[{index}]", item
+            yield f"$.{section}[{index}]", item.get
 
 
-def _names(plain: dict[str, Any], section: str) -> set[str]:
-    return {part["name"] for _, part in _parts(plain, section) if _is_text(part.get("name"))}
+def _names(source: Source, section: str) -> set[str]:
+    names = (read("name") for _, read in _parts(source, section))
+    return {name for name in names if _is_text(name)}
 
 
 def _is_text(value: object) -> TypeGuard[str]:
     return isinstance(value, str)
 
 
-def find_cross_faults(plain: dict[str, Any]) -> Iterator[DocumentError]:
+def find_cross_faults(source: Source) -> Iterator[DocumentError]:
     """Yield each fault that only several values together show."""
-    yield from _find_duplicates(plain, "accounts", "name")
-    yield from _find_duplicates(plain, "keys", "id")
-    yield from _find_duplicates(plain, "keys", "sha256")
-    yield from _find_duplicates(plain, "services", "name")
-    yield from _find_duplicates(plain, "routes", "id")
-    yield from _find_same_patterns(plain)
-    accounts = _names(plain, "accounts")
-    yield from _find_dangling(plain, "keys", "account", accounts)
-    yield from _find_dangling(plain, "routes", "service", _names(plain, "services"))
-    yield from _find_dangling_accounts(plain, accounts)
-    yield from _find_reserved(plain)
-    yield from _find_route_clashes(plain)
-    yield from _find_service_clashes(plain)
-
-
-def _find_duplicates(plain: dict[str, Any], section: str, field: str) -> Iterator[DocumentError]:
+    yield from _find_duplicates(source, "accounts", "name")
+    yield from _find_duplicates(source, "keys", "id")
+    yield from _find_duplicates(source, "keys", "sha256")
+    yield from _find_duplicates(source, "services", "name")
+    yield from _find_duplicates(source, "routes", "id")
+    yield from _find_same_patterns(source)
+    accounts = _names(source, "accounts")
+    yield from _find_dangling(source, "keys", "account", accounts)
+    yield from _find_dangling(source, "routes", "service", _names(source, "services"))
+    yield from _find_dangling_accounts(source, accounts)
+    yield from _find_reserved(source)
+    yield from _find_route_clashes(source)
+    yield from _find_service_clashes(source)
+
+
+def _find_duplicates(source: Source, section: str, field: str) -> Iterator[DocumentError]:
     first: dict[str, str] = {}
-    for place, part in _parts(plain, section):
-        value = part.get(field)
+    for place, read in _parts(source, section):
+        value = read(field)
         if not _is_text(value):
             continue
         if value in first:
@@ -61,10 +70,10 @@
         first.setdefault(value, place)
 
 
-def _find_same_patterns(plain: dict[str, Any]) -> Iterator[DocumentError]:
+def _find_same_patterns(source: Source) -> Iterator[DocumentError]:
     first: dict[tuple[str, str], str] = {}
-    for place, part in _parts(plain, "routes"):
-        method, path = part.get("method"), part.get("path")
+    for place, read in _parts(source, "routes"):
+        method, path = read("method"), read("path")
         if not _is_text(method) or not _is_text(path):
             continue
         pattern = (method, pattern_shape(path))
@@ -74,18 +83,18 @@
 
 
 def _find_dangling(
-    plain: dict[str, Any], section: str, field: str, known: set[str]
+    source: Source, section: str, field: str, known: set[str]
 ) -> Iterator[DocumentError]:
-    for place, part in _parts(plain, section):
-        value = part.get(field)
+    for place, read in _parts(source, section):
+        value = read(field)
         if _is_text(value) and value not in known:
             yield DocumentError(f"{place}.{field}", f"names an unknown {field}, {value!a:.70}")
 
 
-def _find_dangling_accounts(plain: dict[str, Any], known: set[str]) -> Iterator[DocumentError]:
-    for place, part in _parts(plain, "routes"):
-        names = part.get("accounts")
-        if not isinstance(names, list):
+def _find_dangling_accounts(source: Source, known: set[str]) -> Iterator[DocumentError]:
+    for place, read in _parts(source, "routes"):
+        names = read("accounts")
+        if not isinstance(names, list | tuple):
             continue
         for index, name in enumerate(names):
             if _is_text(name) and name not in known:
@@ -93,27 +102,27 @@
                 yield DocumentError(f"{place}.accounts[{index}]", problem)
 
 
-def _find_reserved(plain: dict[str, Any]) -> Iterator[DocumentError]:
-    for place, part in _parts(plain, "accounts"):
-        if part.get("name") == PUBLIC_ACCOUNT:
+def _find_reserved(source: Source) -> Iterator[DocumentError]:
+    for place, read in _parts(source, "accounts"):
+        if read("name") == PUBLIC_ACCOUNT:
             yield DocumentError(f"{place}.name", f"{PUBLIC_ACCOUNT!r} is reserved for open routes")
 
 
-def _find_route_clashes(plain: dict[str, Any]) -> Iterator[DocumentError]:
-    for place, part in _parts(plain, "routes"):
-        if part.get("open") is True and part.get("accounts"):
+def _find_route_clashes(source: Source) -> Iterator[DocumentError]:
+    for place, read in _parts(source, "routes"):
+        if read("open") is True and read("accounts"):
             yield DocumentError(f"{place}.accounts", "is of no use on an open route")
-        if part.get("long_download") is not True:
+        if read("long_download") is not True:
             continue
-        if part.get("method") != "GET" or part.get("repeatable") is not True:
+        if read("method") != "GET" or read("repeatable") is not True:
             problem = "needs the method GET and a repeatable route"
             yield DocumentError(f"{place}.long_download", problem)
 
 
-def _find_service_clashes(plain: dict[str, Any]) -> Iterator[DocumentError]:
+def _find_service_clashes(source: Source) -> Iterator[DocumentError]:
     defaults = attrs.fields(Service)
-    for place, part in _parts(plain, "services"):
-        low = part.get("concurrency_min", defaults.concurrency_min.default)
-        high = part.get("concurrency_max", defaults.concurrency_max.default)
+    for place, read in _parts(source, "services"):
+        low = read("concurrency_min") or defaults.concurrency_min.default
+        high = read("concurrency_max") or defaults.concurrency_max.default
         if isinstance(low, int) and isinstance(high, int) and low > high:
             yield DocumentError(f"{place}.concurrency_max", "is under concurrency_min")
--- a/libs/config/src/wisteria_config/structure.py
+++ b/libs/config/src/wisteria_config/structure.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from types import GenericAlias
-from typing import Any, get_args, get_origin
+from typing import Any, TypeVar, get_args, get_origin
 
 import attrs
 import cattrs
@@ -29,7 +29,7 @@
     Service,
 )
 
-PARTS: tuple[type[Any], ...] = (Account, PublicPolicy, KeyRecord, Service, Route, Document)
+T = TypeVar("T")
 
 Hook = Callable[[Any, Any], Any]
 
@@ -66,34 +66,36 @@
     return lambda value, kind: converter.structure(value, kind)
 
 
-def _make_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-    converter.register_unstructure_hook(Priority, lambda priority: priority.name.lower())
-    for part in PARTS:
-        hooks: dict[str, Any] = {
-            field.name: override(struct_hook=_field_hook(converter, field))
-            for field in attrs.fields(part)
-        }
-        structure = make_dict_structure_fn(
-            part,
-            converter,
-            _cattrs_forbid_extra_keys=True,
-            _cattrs_detailed_validation=True,
-            **hooks,
-        )
-        converter.register_structure_hook(part, _read_object(structure))
-        unstructure = make_dict_unstructure_fn(part, converter, _cattrs_omit_if_default=True)
-        converter.register_unstructure_hook(part, unstructure)
-    return converter
-
-
-_CONVERTER = _make_converter()
-
-
-def structure_document(plain: dict[str, Any]) -> Document | DocumentErrors:
-    """Return the document that parsed JSON describes, or every fault of its fields."""
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+_CONVERTER.register_unstructure_hook(Priority, lambda priority: priority.name.lower())
+
+
+def register_part(part: type[Any]) -> None:
+    """Make an attrs class with described fields known to the functions below."""
+    hooks: dict[str, Any] = {
+        field.name: override(struct_hook=_field_hook(_CONVERTER, field))
+        for field in attrs.fields(part)
+    }
+    structure = make_dict_structure_fn(
+        part,
+        _CONVERTER,
+        _cattrs_forbid_extra_keys=True,
+        _cattrs_detailed_validation=True,
+        **hooks,
+    )
+    _CONVERTER.register_structure_hook(part, _read_object(structure))
+    unstructure_part = make_dict_unstructure_fn(part, _CONVERTER, _cattrs_omit_if_default=True)
+    _CONVERTER.register_unstructure_hook(part, unstructure_part)
+
+
+for _part in (Account, PublicPolicy, KeyRecord, Service, Route, Document):
+    register_part(_part)
+
+
+def structure_part(plain: dict[str, Any], part: type[T]) -> T | DocumentErrors:
+    """Return the object that parsed JSON describes, or every fault of its fields."""
     try:
-        return _CONVERTER.structure(plain, Document)
+        return _CONVERTER.structure(plain, part)
     except (ClassValidationError, IterableValidationError) as group:
         return DocumentErrors(tuple(_list_faults(group, "$")))
 
--- a/libs/config/src/wisteria_config/validation.py
+++ b/libs/config/src/wisteria_config/validation.py
@@ -7,7 +7,7 @@
 from .models import Document, DocumentError, DocumentErrors
 from .parser import parse_json
 from .references import find_cross_faults
-from .structure import structure_document
+from .structure import structure_part
 
 
 def validate_document(raw: bytes) -> Document | DocumentErrors:
@@ -31,7 +31,7 @@
     schema = plain.get("schema")
     if schema != const.SCHEMA or not isinstance(schema, int) or isinstance(schema, bool):
         return _refuse("$.schema", f"is not {const.SCHEMA}, the schema that this release reads")
-    document = structure_document(plain)
+    document = structure_part(plain, Document)
     errors = tuple(find_cross_faults(plain))
     if isinstance(document, DocumentErrors):
         return DocumentErrors(document.errors + errors)
--- /dev/null
+++ b/tests/config/test_dissemination_machine.py
@@ -0,0 +1,206 @@
+"""A hypothesis state machine over pure nodes: what holds under every mix of faults."""
+
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from wisteria_config.dissemination import (
+    Action,
+    Disseminator,
+    InForce,
+    ReadyChanged,
+    VersionAnnounce,
+)
+from wisteria_core import VmId
+
+from .conftest import encode, plain_document, sha256_of
+from .fleet import Fleet, SafetyError
+
+VMS = st.sampled_from([VmId(f"vm-{domain}-{place}") for domain in range(3) for place in range(2)])
+CONVERGENCE_MS = 120_000
+KEYS = 6
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Six nodes in three failure domains, and operators who publish good and bad documents."""
+
+    machine: type[Disseminator] = Disseminator
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(3, 2, machine=self.machine)
+        self.fleet.on_action = self.check_action
+        self.version = 0
+        self.keys = {f"k-{number}" for number in range(KEYS)}
+        self.withdrawn_at: dict[str, int] = {}
+        self.publish_valid()
+        self.fleet.start_all()
+
+    def document(self, version: int, **changes: Any) -> bytes:
+        keys = [
+            {"id": key, "sha256": sha256_of(key), "account": "co-op"} for key in sorted(self.keys)
+        ]
+        return encode(plain_document(version, keys=keys, **changes))
+
+    def check_action(self, vm_id: VmId, action: Action) -> None:
+        """Check that no document holds a key that was withdrawn before it was made."""
+        if not isinstance(action, InForce):
+            return
+        for key, version in self.withdrawn_at.items():
+            if action.stamp.version >= version and action.document.find_key(key) is not None:
+                raise SafetyError(f"{vm_id} takes the withdrawn key {key} back")
+
+    # Operators
+
+    @rule()
+    def publish_valid(self) -> None:
+        self.version += 1
+        self.fleet.publish(self.document(self.version))
+
+    @rule()
+    def withdraw_key(self) -> None:
+        if self.keys:
+            key = min(self.keys)
+            self.keys.remove(key)
+            self.withdrawn_at[key] = self.version + 1
+        self.publish_valid()
+
+    @rule(raw=st.sampled_from([b"{", b'{"schema": 2}', b"\xff"]))
+    def publish_invalid(self, raw: bytes) -> None:
+        self.fleet.publish(raw)
+
+    @rule()
+    def publish_racing_edit(self) -> None:
+        self.fleet.publish(self.document(self.version, services=[{"name": "yields"}], routes=[]))
+
+    @rule()
+    def publish_former_document(self) -> None:
+        self.fleet.publish(self.fleet.service.published[0])
+
+    # Faults
+
+    @rule(vm_id=VMS)
+    def restart(self, vm_id: VmId) -> None:
+        self.fleet.restart(vm_id)
+
+    @rule(vm_id=VMS)
+    def kill(self, vm_id: VmId) -> None:
+        self.fleet.kill(vm_id)
+
+    @rule(vm_id=VMS)
+    def pause(self, vm_id: VmId) -> None:
+        self.fleet.pause(vm_id)
+
+    @rule(vm_id=VMS)
+    def resume(self, vm_id: VmId) -> None:
+        self.fleet.resume(vm_id)
+
+    @rule(one=VMS, other=VMS)
+    def cut(self, one: VmId, other: VmId) -> None:
+        self.fleet.cut.add(frozenset({one, other}))
+
+    @rule()
+    def heal(self) -> None:
+        self.fleet.cut.clear()
+
+    @rule(loss=st.sampled_from([0.0, 0.3]), latency_ms=st.sampled_from([3, 400, 3_000]))
+    def change_links(self, loss: float, latency_ms: int) -> None:
+        self.fleet.loss = self.fleet.doubling = loss
+        self.fleet.latency_ms = (1, latency_ms)
+
+    @rule(vms=st.sets(VMS), behind=st.integers(1, 3))
+    def make_replicas_stale(self, vms: set[VmId], behind: int) -> None:
+        self.fleet.service.stale = dict.fromkeys(vms, behind)
+
+    @rule(vms=st.sets(VMS))
+    def take_service_down(self, vms: set[VmId]) -> None:
+        self.fleet.service.down = vms
+
+    @rule(duration_ms=st.sampled_from([10, 300, 2_000, 9_000]))
+    def wait(self, duration_ms: int) -> None:
+        self.fleet.run(duration_ms)
+
+    @invariant()
+    def reads_stay_few(self) -> None:
+        assert max(self.fleet.service.reads_by_s.values(), default=0) <= 20 * len(self.fleet.nodes)
+
+    def teardown(self) -> None:
+        """Once faults end, a higher version reaches every node, which is then ready."""
+        fleet = self.fleet
+        fleet.cut.clear()
+        fleet.loss = fleet.doubling = 0.0
+        fleet.latency_ms = (1, 3)
+        fleet.service.down = set()
+        fleet.service.stale = {}
+        for vm_id, node in fleet.nodes.items():
+            fleet.resume(vm_id)
+            if not node.alive:
+                fleet.restart(vm_id)
+        self.publish_valid()
+        fleet.run(CONVERGENCE_MS)
+        assert fleet.versions() == {self.version}
+        assert len({node.machine.stamp for node in fleet.living()}) == 1
+        assert fleet.all_ready()
+
+
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_versions_never_fall_and_all_nodes_converge() -> None:
+    run_state_machine_as_test(FleetMachine, settings=SETTINGS)  # type: ignore[no-untyped-call]
+
+
+class AcceptsLowerVersion(Disseminator):
+    """Takes whatever the service publishes."""
+
+    def _judge_published(self, stamp: Any, revision: int) -> bool:
+        if self.stamp is not None and stamp.version < self.version:
+            self.history.stamp = None
+            self._seen_raw = type(self._seen_raw)(1)
+        return super()._judge_published(stamp, revision)
+
+
+class ReadyWithoutAsking(Disseminator):
+    """Serves callers as soon as it has any document."""
+
+    def _become_ready(self, now_ms: int) -> None:
+        if not self.ready and self.stamp is not None:
+            self.ready = True
+            self._actions.append(ReadyChanged(True))
+
+
+class ServesOnAfterPause(Disseminator):
+    """Does not learn again after a pause."""
+
+    def handle_wake(self, now_ms: int) -> list[Action]:
+        return self.tick(now_ms)
+
+
+class BelievesAnyAnswer(Disseminator):
+    """Takes answers to another incarnation's queries for its own."""
+
+    def _take_announcement(self, source: VmId, message: VersionAnnounce, now_ms: int) -> None:
+        self.learning.asked.add(source)
+        nonce = self.learning.nonce
+        altered = VersionAnnounce(
+            message.version, message.digest, message.confirmed_age_ms, message.revision, True, nonce
+        )
+        super()._take_announcement(source, altered, now_ms)
+
+
+@pytest.mark.parametrize(
+    "mistake", [AcceptsLowerVersion, ReadyWithoutAsking, ServesOnAfterPause, BelievesAnyAnswer]
+)
+def test_planted_mistake_is_caught(mistake: type[Disseminator]) -> None:
+    machine = type("Planted", (FleetMachine,), {"machine": mistake})
+    with pytest.raises(SafetyError):
+        run_state_machine_as_test(machine, settings=SETTINGS)  # type: ignore[no-untyped-call]
