--- a/tests/admission/test_gate_machine.py
+++ b/tests/admission/test_gate_machine.py
@@ -6,6 +6,7 @@
 
 from wisteria_admission import (
     Action,
+    AdmissionConfig,
     AdmissionGate,
     Dispatch,
     Outcome,
@@ -18,6 +19,8 @@
 
 SHED_CODES = (ResultCode.SHED, ResultCode.QUEUE_FULL)
 
+MAX_SLOTS = 8
+
 
 class GateMachine(RuleBasedStateMachine):
     """Offers, releases, cancels and ticks in any order; keeps the state of each call."""
@@ -27,7 +30,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_ms = 0
-        self.gate = AdmissionGate(slots=6)
+        self.gate = AdmissionGate(slots=6, config=AdmissionConfig(queue_per_slot=1))
         self.tickets: dict[int, Ticket] = {}
         self.waiting: set[int] = set()
         self.running: dict[int, int] = {}
@@ -63,6 +66,8 @@
                 self.start(call)
             case Queued():
                 self.waiting.add(call)
+                state = self.gate.describe()
+                assert state["queued_long" if is_long else "queued"] <= MAX_SLOTS
             case Refusal() as refusal:
                 self.check_refusal(ticket, refusal)
         for eviction in offer.evicted:
@@ -86,7 +91,7 @@
         self.apply(self.gate.withdraw(self.now_ms, lambda ticket: ticket.account == account))
         assert all(self.tickets[call].account != account for call in self.waiting)
 
-    @rule(slots=st.integers(1, 8))
+    @rule(slots=st.integers(1, MAX_SLOTS))
     def set_slots(self, slots: int) -> None:
         self.apply(self.gate.set_slots(self.now_ms, slots))
 
