--- a/libs/ownership/src/wisteria_ownership/recovery.py
+++ b/libs/ownership/src/wisteria_ownership/recovery.py
@@ -96,7 +96,8 @@
         peer.hello_due_ms = 0
         peer.hello_backoff_ms = 0
         active = {item.slot: item for item in reply.active}
-        for item in reply.active:
+        is_gone = node.roster.is_gone(sender, reply.list_version)
+        for item in () if is_gone else reply.active:
             self._take_active(sender, incarnation, reply, item)
         for record in node.records.values():
             if record.slot not in active:
