--- a/libs/standins/src/wisteria_standins/behaviour.py
+++ b/libs/standins/src/wisteria_standins/behaviour.py
@@ -160,8 +160,17 @@
 
 
 def structure_behaviour(fields: dict[str, Any]) -> Behaviour:
-    """Return the behaviour that plain data describes; an unknown field is an error."""
-    return _CONVERTER.structure(fields, Behaviour)
+    """Return the behaviour that plain data describes.
+
+    Raises
+    ------
+    ValueError
+        If a field is unknown or its value is of the wrong type.
+    """
+    try:
+        return _CONVERTER.structure(fields, Behaviour)
+    except cattrs.BaseValidationError as error:
+        raise ValueError("; ".join(cattrs.transform_error(error))) from error
 
 
 def unstructure_behaviour(behaviour: Behaviour) -> dict[str, Any]:
--- a/libs/standins/src/wisteria_standins/const.py
+++ b/libs/standins/src/wisteria_standins/const.py
@@ -16,6 +16,7 @@
 PATH_CONTROL = "/control"
 PATH_HEALTH = "/health"
 PATH_LOAD = "/load"
+PATH_READY = "/ready"
 PATH_DRAIN = "/drain"
 
 LOOPBACK = "127.0.0.1"
--- a/libs/standins/src/wisteria_standins/fleet.py
+++ b/libs/standins/src/wisteria_standins/fleet.py
@@ -11,12 +11,21 @@
 from types import TracebackType
 from typing import Any
 
+import attrs
 import orjson
 
 from .behaviour import unstructure_behaviour
 from .client import Answer, Call, Client
 from .const import MS_PER_S
-from .fleet_spec import FleetSpec, Node, make_vm_list, plan_nodes, render_settings
+from .fleet_spec import (
+    Baseline,
+    FleetSpec,
+    Node,
+    make_vm_list,
+    plan_baseline,
+    plan_nodes,
+    render_settings,
+)
 from .managed import ManagedProcess
 from .material import Authority
 from .platform import render_vms
@@ -132,16 +141,27 @@
             }
             name = f"{node.vm_id}.backend"
             self.backends[node.vm_id] = self._make_standin("backend", name, options)
-        if self.spec.with_daemons:
-            self._authority.write_identity(self.folder, node.vm_id)
-            settings = self.folder / f"{node.vm_id}.toml"
-            settings.write_text(render_settings(node, self.spec, self.platform_port, self.folder))
-            program = str(Path(sys.executable).parent / _DAEMON_PROGRAM)
-            self.daemons[node.vm_id] = ManagedProcess(
-                node.vm_id,
-                (sys.executable, program, "--settings", str(settings)),
-                self.folder / f"{node.vm_id}.log",
-            )
+        if not self.spec.with_daemons:
+            return
+        if self.spec.baseline is not None:
+            self.daemons[node.vm_id] = self._make_baseline(node, self.spec.baseline)
+        else:
+            self.daemons[node.vm_id] = self._make_daemon(node)
+
+    def _make_baseline(self, node: Node, baseline: Baseline) -> ManagedProcess:
+        plan = self.folder / "baseline.json"
+        spec = plan_baseline(baseline, list(self.nodes.values()))
+        plan.write_bytes(orjson.dumps(attrs.asdict(spec)))
+        options = {"--port": node.vm.caller_port, "--spec": plan}
+        return self._make_standin("passthrough", node.vm_id, options)
+
+    def _make_daemon(self, node: Node) -> ManagedProcess:
+        self._authority.write_identity(self.folder, node.vm_id)
+        settings = self.folder / f"{node.vm_id}.toml"
+        settings.write_text(render_settings(node, self.spec, self.platform_port, self.folder))
+        program = str(Path(sys.executable).parent / _DAEMON_PROGRAM)
+        command = (sys.executable, program, "--settings", str(settings))
+        return ManagedProcess(node.vm_id, command, self.folder / f"{node.vm_id}.log")
 
     def _make_standin(
         self, module: str, name: str, options: Mapping[str, object]
@@ -163,11 +183,15 @@
         chosen = list(self.daemons) if vm_ids is None else vm_ids
         await asyncio.gather(
             *(
-                self._await_answer(self.daemons[vm_id], self.nodes[vm_id].operator_port, "/ready")
+                self._await_answer(self.daemons[vm_id], self._ready_port(vm_id), "/ready")
                 for vm_id in chosen
             )
         )
 
+    def _ready_port(self, vm_id: str) -> int:
+        node = self.nodes[vm_id]
+        return node.operator_port if self.spec.baseline is None else node.vm.caller_port
+
     async def _await_answer(self, process: ManagedProcess, port: int, path: str) -> None:
         """Poll `path` until its status is 200.
 
--- a/libs/standins/src/wisteria_standins/fleet_spec.py
+++ b/libs/standins/src/wisteria_standins/fleet_spec.py
@@ -9,6 +9,7 @@
 
 from .behaviour import Behaviour
 from .const import LOOPBACK
+from .passthrough import PassthroughSpec, Upstream
 
 
 @attrs.frozen
@@ -30,6 +31,25 @@
     behaviour: Behaviour = Behaviour()
 
 
+@attrs.frozen
+class Baseline:
+    """Plain reverse proxies in place of the daemons, without overload control.
+
+    Parameters
+    ----------
+    services : dict
+        Service that answers, by the start of the path.
+    attempts : int
+        Tries of each call at each hop.
+    timeout_ms : int
+        Longest wait for one try, in milliseconds.
+    """
+
+    services: dict[str, str]
+    attempts: int = 3
+    timeout_ms: int = 10_000
+
+
 @attrs.frozen
 class FleetSpec:
     """A fleet.
@@ -52,6 +72,8 @@
         Whether to start daemons; False leaves callers to reach the backend servers directly.
     with_backends : bool
         Whether to start backend servers.
+    baseline : Baseline or None
+        What to start in place of the daemons.
     ready_timeout_s, stop_timeout_s : float
         Longest times for the whole fleet to become ready, and for one process to stop.
     """
@@ -65,6 +87,7 @@
     log_level: str = "info"
     with_daemons: bool = True
     with_backends: bool = True
+    baseline: Baseline | None = None
     ready_timeout_s: float = 30.0
     stop_timeout_s: float = 10.0
 
@@ -109,6 +132,15 @@
     return nodes
 
 
+def plan_baseline(baseline: Baseline, nodes: list[Node]) -> PassthroughSpec:
+    """Return where the plain reverse proxy of each VM forwards."""
+    upstreams = tuple(
+        Upstream(prefix, tuple(node.backend_port for node in nodes if node.vm.service == service))
+        for prefix, service in baseline.services.items()
+    )
+    return PassthroughSpec(upstreams, baseline.attempts, baseline.timeout_ms)
+
+
 def make_vm_list(nodes: list[Node], version: int, leaving: frozenset[str]) -> VmList:
     """Return the list of VMs as the platform publishes it."""
     return VmList(
--- a/libs/standins/src/wisteria_standins/http.py
+++ b/libs/standins/src/wisteria_standins/http.py
@@ -1,6 +1,7 @@
 """A small HTTP/1.1 server on asyncio and httptools, enough for a stand-in."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import aclosing
@@ -14,6 +15,8 @@
 
 from .const import LOOPBACK, MAX_BODY_BYTES
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @attrs.define
 class Request:
@@ -162,6 +165,9 @@
             response = await self._server.handler(request)
         except (ValueError, KeyError, TypeError) as error:
             response = respond_json({"error": f"{type(error).__name__}: {error}"}, 400)
+        except Exception as error:
+            _LOGGER.exception("request_failed")
+            response = respond_json({"error": type(error).__name__}, 500)
         if response is None:
             self.abort()
         elif response.stream is not None:
--- a/libs/standins/src/wisteria_standins/load.py
+++ b/libs/standins/src/wisteria_standins/load.py
@@ -14,7 +14,14 @@
 import typer
 
 from .client import Answer, Call, Client
-from .const import HEADER_RESULT, HEADER_RUN, MS_PER_S
+from .const import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    HEADER_RESULT,
+    HEADER_RUN,
+    MS_PER_S,
+)
 from .load_spec import ClosedLoop, Flow, LoadSpec, OpenLoop, Phase, Target
 from .process import run_main
 from .report import render_table
@@ -22,6 +29,9 @@
 
 _RESULT = HEADER_RESULT.decode()
 _RUN = HEADER_RUN.decode()
+_REQUEST_ID = HEADER_REQUEST_ID.decode()
+_DEADLINE = HEADER_DEADLINE_MS.decode()
+_KEY = HEADER_IDEMPOTENCY_KEY.decode()
 _LATE_MS = 20
 _MAX_RETRY_AFTER_S = 30.0
 
@@ -36,19 +46,19 @@
     arrived_s: float
     key: str = ""
 
-    def make_call(self) -> Call:
-        """Return the call of each try."""
+    def make_call(self, attempt: int) -> Call:
+        """Return the call of one try; each try has a request id of its own."""
         flow = self.flow
         path = flow.path.replace("{n}", str(self.number))
         if flow.echo:
             path += f"{'&' if '?' in path else '?'}echo={self.number}"
-        headers: list[tuple[str, str]] = []
+        headers = [(_REQUEST_ID, f"{flow.name}-{self.number}-{attempt}")]
         if flow.key:
             headers.append(("Authorization", f"Bearer {flow.key}"))
         if flow.deadline_ms is not None:
-            headers.append(("Wisteria-Deadline-Ms", str(flow.deadline_ms)))
+            headers.append((_DEADLINE, str(flow.deadline_ms)))
         if flow.with_idempotency_key:
-            headers.append(("Idempotency-Key", self.key))
+            headers.append((_KEY, self.key))
         wants_digest = bool(flow.expected_digest)
         return Call(flow.method, path, tuple(headers), flow.body, with_digest=wants_digest)
 
@@ -139,12 +149,12 @@
     async def _serve(self, request: _Request) -> None:
         """Make a request's tries until one succeeds, its deadline passes or none is left."""
         flow = request.flow
-        call = request.make_call()
         attempts = 0
         while True:
             attempts += 1
             if attempts == 1 and self.spec.latency_from_send:
                 request.arrived_s = self._elapsed_s()
+            call = request.make_call(attempts)
             answer = await next(self._next_client).async_call(call, self._left_ms(request))
             kind = request.classify(answer)
             if kind == OK or attempts >= flow.retry.attempts:
--- a/libs/standins/src/wisteria_standins/passthrough.py
+++ b/libs/standins/src/wisteria_standins/passthrough.py
@@ -12,7 +12,7 @@
 import typer
 
 from .client import Answer, Call, Client
-from .const import HEADER_CALL, LOOPBACK, MS_PER_S
+from .const import HEADER_CALL, LOOPBACK, MS_PER_S, PATH_READY
 from .http import HttpServer, Request, Response, respond_json
 from .process import run_until_stopped
 
@@ -75,6 +75,8 @@
         await self.server.async_stop()
 
     async def _handle(self, request: Request) -> Response | None:
+        if request.path == PATH_READY:
+            return respond_json({"ready": True})
         fitting = [prefix for prefix in self._turns if request.path.startswith(prefix)]
         if not fitting:
             return respond_json({"error": "no such path"}, 404)
