Let every backend server be tried in the end; test routing and retries

Cause: the tests found servers that would never get a call again: one error was enough for a score that no load made up for, a starting server's score was ten times the others', unknown capacity counted as small, and old loads faded to a fixed 0.5. Conclusion: error rates fade, a slow start is a share of the draws, and what is unknown is taken from the others.

--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -1,6 +1,6 @@
 """Choice of a backend server: least load of sampled candidates, ejection, probes."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 
 import attrs
@@ -9,7 +9,7 @@
 
 from .config import ChooserConfig
 from .models import CallOutcome, Candidate, HealthReport, ServerLoad
-from .servers import Server
+from .servers import Server, Usual
 
 NO_SERVER_RETRY_AFTER_MS = 500
 FORGIVE_OUTCOMES = 100
@@ -116,10 +116,10 @@
         server.in_flight = max(0, server.in_flight - 1)
         if load is not None:
             server.note_load(now_ms, load)
-        server.note_outcome(outcome, latency_ms, self.config)
+        server.note_outcome(now_ms, outcome, latency_ms, self.config)
         if server.ejected_until_ms is not None:
             self._judge_probe(now_ms, server, outcome)
-        elif self._should_eject(server):
+        elif self._should_eject(now_ms, server):
             server.eject(now_ms, self.config)
         elif server.outcomes > FORGIVE_OUTCOMES:
             server.ejections = 0
@@ -132,14 +132,15 @@
 
     def describe(self, now_ms: int) -> list[dict[str, object]]:
         """Return the state of each backend server for the operators' port."""
+        usual = self._find_usual(now_ms)
         return [
             {
                 "vm": server.vm_id,
                 "usable": server.candidate.usable,
                 "ejected": server.ejected_until_ms is not None,
                 "in_flight": server.in_flight,
-                "load": round(server.load(now_ms, self.config), 3),
-                "error_rate": round(server.error_rate, 3),
+                "load": round(server.load(now_ms, usual, self.config), 3),
+                "error_rate": round(server.error_rate(now_ms, self.config), 3),
                 "latency_ms": round(server.latency_ms, 1),
             }
             for server in self._servers.values()
@@ -154,29 +155,44 @@
 
     def _choose_among(self, now_ms: int, servers: list[Server]) -> Server | None:
         local = [s for s in servers if s.candidate.failure_domain == self.failure_domain]
-        best = self._best_of(now_ms, local)
-        if best is not None and best.load(now_ms, self.config) <= self.config.local_load:
+        usual = self._find_usual(now_ms)
+        best = self._best_of(now_ms, local, usual)
+        if best is not None and best.load(now_ms, usual, self.config) <= self.config.local_load:
             return best
         remote = [s for s in servers if s.candidate.failure_domain != self.failure_domain]
-        other = self._best_of(now_ms, remote)
+        other = self._best_of(now_ms, remote, usual)
         if best is None or other is None:
             return best or other
-        penalty = self.config.remote_penalty
-        return other if self._score(now_ms, other) * penalty < self._score(now_ms, best) else best
+        other_score = other.score(now_ms, usual, self.config) * self.config.remote_penalty
+        return other if other_score < best.score(now_ms, usual, self.config) else best
 
-    def _best_of(self, now_ms: int, servers: list[Server]) -> Server | None:
-        if len(servers) > self.config.samples:
-            servers = self.random.sample(servers, self.config.samples)
-        return min(servers, key=lambda server: self._score(now_ms, server), default=None)
-
-    def _score(self, now_ms: int, server: Server) -> float:
-        return server.score(now_ms, self._usual_latency_ms(), self.config)
-
-    def _usual_latency_ms(self) -> float:
-        known = sorted(s.latency_ms for s in self._servers.values() if s.latency_ms)
-        return known[len(known) // 2] if known else 0.0
-
-    def _should_eject(self, server: Server) -> bool:
+    def _best_of(self, now_ms: int, servers: list[Server], usual: Usual) -> Server | None:
+        """Return the best of a few sampled servers; a starting one is sampled less often."""
+        config = self.config
+        started = [s for s in servers if self._is_drawn(s.start_part(now_ms, config))]
+        sampled = started or servers
+        if len(sampled) > config.samples:
+            sampled = self.random.sample(sampled, config.samples)
+        return min(sampled, key=lambda s: s.score(now_ms, usual, config), default=None)
+
+    def _is_drawn(self, part: float) -> bool:
+        return part >= 1.0 or self.random.random() < part
+
+    def _find_usual(self, now_ms: int) -> Usual:
+        """Return the medians over the servers that have evidence."""
+        servers = self._servers.values()
+        heard = [s.heard_load(now_ms, self.config) for s in servers]
+        loads = [load for load in heard if load is not None]
+        limits = [limit for s in servers if (limit := s.stated_limit()) is not None]
+        latencies = [s.latency_ms for s in servers if s.latency_ms]
+        default = Usual()
+        return Usual(
+            min(default.load, _median(loads, default.load)),
+            int(_median(limits, default.capacity)),
+            _median(latencies, default.latency_ms),
+        )
+
+    def _should_eject(self, now_ms: int, server: Server) -> bool:
         config = self.config
         if server.outcomes < config.eject_min_outcomes:
             return False
@@ -184,8 +200,8 @@
         ejected = sum(1 for s in others if s.ejected_until_ms is not None)
         if ejected + 1 > max(1, int(config.eject_share * (len(others) + 1))) or not others:
             return False
-        usual = sum(s.error_rate for s in others) / len(others)
-        return server.error_rate >= max(config.eject_error_rate, 2.0 * usual)
+        usual = sum(s.error_rate(now_ms, config) for s in others) / len(others)
+        return server.error_rate(now_ms, config) >= max(config.eject_error_rate, 2.0 * usual)
 
     def _judge_probe(self, now_ms: int, server: Server, outcome: CallOutcome) -> None:
         if server.ejected_until_ms is None or now_ms < server.ejected_until_ms:
@@ -194,3 +210,8 @@
             server.restore(now_ms)
         elif outcome is not CallOutcome.CANCELLED:
             server.eject(now_ms, self.config)
+
+
+def _median(values: Sequence[float], default: float) -> float:
+    """Return the upper median of `values`, or `default` when there are none."""
+    return sorted(values)[len(values) // 2] if values else default
--- a/libs/routing/src/wisteria_routing/config.py
+++ b/libs/routing/src/wisteria_routing/config.py
@@ -29,6 +29,8 @@
         Calls that this daemon has at one backend server at once.
     error_smoothing : float
         Weight of one outcome in the error rate.
+    error_half_life_ms : int
+        Time without outcomes in which the error rate halves.
     eject_error_rate : float
         Error rate at which a backend server is ejected.
     eject_min_outcomes : int
@@ -46,9 +48,10 @@
     slow_start_ms: int = 5_000
     local_load: float = 0.8
     remote_penalty: float = 1.25
-    connect_penalty: float = 0.25
+    connect_penalty: float = 0.05
     max_in_flight: int = 200
     error_smoothing: float = 0.1
+    error_half_life_ms: int = 3_000
     eject_error_rate: float = 0.5
     eject_min_outcomes: int = 5
     eject_base_ms: int = 1_000
--- a/libs/routing/src/wisteria_routing/servers.py
+++ b/libs/routing/src/wisteria_routing/servers.py
@@ -14,13 +14,27 @@
     CallOutcome.ERROR: 1.0,
     CallOutcome.LINK_LOST: 1.0,
 }
-NEUTRAL_LOAD = 0.5
+PRIOR_WEIGHT = 0.25
+UNHEALTHY_LOAD = 2.0
 LATENCY_SMOOTHING = 0.1
 ERROR_PENALTY = 20.0
+NEGLIGIBLE_ERROR_RATE = 0.01
 MAX_LATENCY_FACTOR = 4.0
 MIN_START_PART = 0.1
 
 
+@attrs.frozen
+class Usual:
+    """What is assumed of a backend server without evidence: medians over the others.
+
+    The load is never assumed to be high, so that a server is tried in the end.
+    """
+
+    load: float = 0.5
+    capacity: int = CAPACITY_UNKNOWN
+    latency_ms: float = 0.0
+
+
 @attrs.define
 class Server:
     """Evidence on one backend server.
@@ -36,7 +50,8 @@
     candidate: Candidate
     started_ms: int
     in_flight: int = 0
-    error_rate: float = 0.0
+    _error_rate: float = 0.0
+    _error_noted_ms: int = 0
     latency_ms: float = 0.0
     outcomes: int = 0
     ejections: int = 0
@@ -61,48 +76,64 @@
         self._report = report
         self._report_heard_ms = now_ms - report.age_ms
 
-    def note_outcome(self, outcome: CallOutcome, latency_ms: int, config: ChooserConfig) -> None:
+    def error_rate(self, now_ms: int, config: ChooserConfig) -> float:
+        """Return the error rate; it fades while nothing is sent, so that one is tried again."""
+        rate = self._error_rate * _fade(now_ms - self._error_noted_ms, config.error_half_life_ms)
+        return rate if rate >= NEGLIGIBLE_ERROR_RATE else 0.0
+
+    def note_outcome(
+        self, now_ms: int, outcome: CallOutcome, latency_ms: int, config: ChooserConfig
+    ) -> None:
         """Take in how an attempt ended; refusals and cancellations say nothing of health."""
         weight = _ERROR_WEIGHT.get(outcome)
         if weight is None:
             return
         self.outcomes += 1
-        self.error_rate += config.error_smoothing * (weight - self.error_rate)
+        rate = self.error_rate(now_ms, config)
+        self._error_rate = rate + config.error_smoothing * (weight - rate)
+        self._error_noted_ms = now_ms
         if outcome in (CallOutcome.SUCCESS, CallOutcome.TIMEOUT):
             gap_ms = latency_ms - self.latency_ms if self.latency_ms else latency_ms
             self.latency_ms += gap_ms * (LATENCY_SMOOTHING if self.latency_ms else 1.0)
 
-    def capacity(self) -> int:
+    def capacity(self, usual: Usual) -> int:
         """Return the concurrency limit last heard."""
-        return max(1, self._load.limit) if self._load else CAPACITY_UNKNOWN
+        return max(1, self._load.limit) if self._load else usual.capacity
+
+    def stated_limit(self) -> int | None:
+        """Return the concurrency limit last heard, None before the first answer."""
+        return self._load.limit if self._load else None
+
+    def heard_load(self, now_ms: int, config: ChooserConfig) -> float | None:
+        """Return the load carried on the last answer while it is fresh, else None."""
+        if self._load is None or now_ms - self._load_heard_ms > config.load_half_life_ms:
+            return None
+        return self._load.ratio()
 
-    def load(self, now_ms: int, config: ChooserConfig) -> float:
+    def load(self, now_ms: int, usual: Usual, config: ChooserConfig) -> float:
         """Return the load as a multiple of the capacity, with old evidence discounted.
 
-        Evidence fades towards a neutral load; the own calls in flight are always counted.
+        Evidence fades towards the usual load, so that a server that was once busy is tried
+        again; the own calls in flight are always counted.
         """
-        weights, total = 0.25, 0.25 * NEUTRAL_LOAD
+        weights, total = PRIOR_WEIGHT, PRIOR_WEIGHT * usual.load
         if self._load is not None:
             weight = _fade(now_ms - self._load_heard_ms, config.load_half_life_ms)
             weights, total = weights + weight, total + weight * self._load.ratio()
         if self._report is not None:
             fade = _fade(now_ms - self._report_heard_ms, config.report_half_life_ms)
             weight = config.report_weight * fade
-            claimed = self._report.load if self._report.healthy else 2.0
+            claimed = self._report.load if self._report.healthy else UNHEALTHY_LOAD
             weights, total = weights + weight, total + weight * claimed
-        return max(total / weights, self.in_flight / self.capacity())
+        return max(total / weights, self.in_flight / self.capacity(usual))
 
-    def score(self, now_ms: int, usual_latency_ms: float, config: ChooserConfig) -> float:
+    def score(self, now_ms: int, usual: Usual, config: ChooserConfig) -> float:
         """Return the cost of sending one more call; the lowest is best."""
-        load = self.load(now_ms, config) + (self.in_flight + 1) / self.capacity()
+        load = self.load(now_ms, usual, config) + (self.in_flight + 1) / self.capacity(usual)
         if not self.candidate.connected:
             load += config.connect_penalty
-        return (
-            load
-            * self._latency_factor(usual_latency_ms)
-            * (1.0 + ERROR_PENALTY * self.error_rate)
-            / self.start_part(now_ms, config)
-        )
+        errors = 1.0 + ERROR_PENALTY * self.error_rate(now_ms, config)
+        return load * self._latency_factor(usual.latency_ms) * errors
 
     def start_part(self, now_ms: int, config: ChooserConfig) -> float:
         """Return the part of its full share that a starting backend server gets."""
@@ -119,7 +150,7 @@
     def restore(self, now_ms: int) -> None:
         """Take an ejected server back after a successful probe, with a slow start."""
         self.ejected_until_ms = None
-        self.error_rate = 0.0
+        self._error_rate = 0.0
         self.outcomes = 0
         self.started_ms = now_ms
 
--- /dev/null
+++ b/tests/routing/test_chooser.py
@@ -0,0 +1,175 @@
+"""Choice of a backend server under misleading reports, failures, restarts and drains."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from wisteria_core import FailureDomain, Refusal, ResultCode, VmId
+from wisteria_routing import (
+    CallOutcome,
+    Candidate,
+    Chooser,
+    ChooserConfig,
+    ConnectionBudget,
+    HealthReport,
+    ServerLoad,
+)
+
+EAST, WEST = FailureDomain("east"), FailureDomain("west")
+SERVERS = [VmId(f"vm-{number}") for number in range(6)]
+HALF_LOADED = ServerLoad(20, 0, 40)
+Reply = Callable[[VmId], tuple[CallOutcome, int, ServerLoad | None]]
+
+
+def make_chooser(seed: int = 1, domain_of: Callable[[int], FailureDomain] | None = None) -> Chooser:
+    chooser = Chooser(EAST, Random(seed))
+    domains = [domain_of(number) if domain_of else EAST for number in range(len(SERVERS))]
+    chooser.update(0, [Candidate(vm, domains[n]) for n, vm in enumerate(SERVERS)])
+    return chooser
+
+
+def run_calls(chooser: Chooser, start_ms: int, count: int, reply: Reply) -> Counter[VmId]:
+    """Send one call a millisecond; each is answered before the next is sent."""
+    sent: Counter[VmId] = Counter()
+    for now_ms in range(start_ms, start_ms + count):
+        vm = chooser.choose(now_ms)
+        assert not isinstance(vm, Refusal)
+        sent[vm] += 1
+        chooser.note_sent(now_ms, vm)
+        outcome, latency_ms, load = reply(vm)
+        chooser.note_answer(now_ms, vm, outcome, latency_ms, load)
+    return sent
+
+
+def answer_well(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+    return CallOutcome.SUCCESS, 20, HALF_LOADED
+
+
+def test_a_black_hole_that_reports_idle_is_found_out() -> None:
+    """It answers at once with errors, claims to be idle and healthy, and gets few calls."""
+    chooser = make_chooser()
+    hole = SERVERS[0]
+
+    def reply(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        if vm == hole:
+            return CallOutcome.ERROR, 1, ServerLoad(0, 0, 40)
+        return answer_well(vm)
+
+    errors = 0
+    for round_number in range(20):
+        chooser.note_report(round_number * 500, hole, HealthReport(True, 0.0, 0))
+        errors += run_calls(chooser, round_number * 500, 500, reply)[hole]
+    assert errors <= 30
+
+
+def test_an_ejected_server_is_probed_by_one_call_and_returns_slowly() -> None:
+    chooser = make_chooser()
+    broken = SERVERS[0]
+    for _ in range(10):
+        chooser.note_sent(0, broken)
+        chooser.note_answer(0, broken, CallOutcome.LINK_LOST, 1)
+
+    def fail(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        return (CallOutcome.LINK_LOST, 1, None) if vm == broken else answer_well(vm)
+
+    assert run_calls(chooser, 0, 900, fail)[broken] == 0
+    assert run_calls(chooser, 900, 900, fail)[broken] == 1
+    assert run_calls(chooser, 1_800, 900, fail)[broken] == 0
+    first = run_calls(chooser, 40_000, 600, answer_well)[broken]
+    later = run_calls(chooser, 60_000, 600, answer_well)[broken]
+    assert 0 < first < later / 2
+
+
+def test_no_more_than_a_share_is_ejected() -> None:
+    chooser = make_chooser()
+
+    def fail(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        return CallOutcome.ERROR, 5, HALF_LOADED
+
+    run_calls(chooser, 0, 500, fail)
+    ejected = [server for server in chooser.describe(500) if server["ejected"]]
+    assert len(ejected) <= 2
+
+
+def test_leaving_and_unreachable_servers_get_nothing() -> None:
+    chooser = make_chooser()
+    run_calls(chooser, 0, 50, answer_well)
+    chooser.update(50, [Candidate(vm, EAST, usable=vm == SERVERS[3]) for vm in SERVERS])
+    assert set(run_calls(chooser, 50, 50, answer_well)) == {SERVERS[3]}
+    refusal = chooser.choose(100, frozenset({SERVERS[3]}))
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is ResultCode.NO_BACKEND_SERVER
+
+
+def test_load_on_answers_moves_calls_and_old_load_fades() -> None:
+    chooser = make_chooser()
+    busy = set(SERVERS[:3])
+
+    def reply(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        load = ServerLoad(40, 40, 40) if vm in busy else ServerLoad(4, 0, 40)
+        return CallOutcome.SUCCESS, 20, load
+
+    sent = run_calls(chooser, 0, 600, reply)
+    assert sum(sent[vm] for vm in busy) < 200
+    loads = {str(server["vm"]): server["load"] for server in chooser.describe(10_000)}
+    assert all(load == loads["vm-5"] for load in loads.values())
+
+
+def test_own_calls_in_flight_count_without_any_answer() -> None:
+    chooser = make_chooser()
+    sent: Counter[VmId] = Counter()
+    for now_ms in range(60):
+        vm = chooser.choose(now_ms)
+        assert not isinstance(vm, Refusal)
+        chooser.note_sent(now_ms, vm)
+        sent[vm] += 1
+    assert max(sent.values()) - min(sent[vm] for vm in SERVERS) <= 4
+
+
+def test_calls_stay_in_their_domain_until_it_is_loaded() -> None:
+    chooser = make_chooser(domain_of=lambda number: EAST if number < 3 else WEST)
+    assert set(run_calls(chooser, 0, 300, answer_well)) <= set(SERVERS[:3])
+
+    def reply(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        load = ServerLoad(40, 30, 40) if vm in SERVERS[:3] else ServerLoad(4, 0, 40)
+        return CallOutcome.SUCCESS, 20, load
+
+    run_calls(chooser, 300, 100, reply)
+    sent = run_calls(chooser, 400, 300, reply)
+    assert sum(sent[vm] for vm in SERVERS[3:]) > 200
+
+
+def test_a_new_server_starts_slowly_and_a_new_connection_counts() -> None:
+    chooser = make_chooser()
+    fresh = VmId("fresh")
+    candidates = [Candidate(vm, EAST) for vm in SERVERS]
+    chooser.update(1_000, [*candidates, Candidate(fresh, EAST)])
+    early = run_calls(chooser, 1_000, 500, answer_well)[fresh]
+    late = run_calls(chooser, 8_000, 500, answer_well)[fresh]
+    assert early < late
+    unconnected = [attrs.evolve(item, connected=item.vm_id != SERVERS[0]) for item in candidates]
+    chooser.update(9_000, unconnected)
+    sent = run_calls(chooser, 9_000, 500, answer_well)
+    assert sent[SERVERS[0]] < 500 // len(SERVERS) // 2
+
+
+def test_calls_at_one_server_are_bounded() -> None:
+    chooser = Chooser(EAST, Random(1), ChooserConfig(max_in_flight=2))
+    chooser.update(0, [Candidate(SERVERS[0], EAST)])
+    for _ in range(2):
+        chooser.note_sent(0, SERVERS[0])
+    assert isinstance(chooser.choose(0), Refusal)
+
+
+def test_connections_are_bounded_and_opened_few_at_once() -> None:
+    budget = ConnectionBudget(limit=5, max_opening=2)
+    assert not budget.may_reuse()
+    assert [budget.may_open() for _ in range(3)] == [True, True, False]
+    budget.note_opened(succeeded=True)
+    budget.note_opened(succeeded=False)
+    assert budget.may_reuse()
+    assert [budget.may_open() for _ in range(2)] == [True, True]
+    budget.note_released(reusable=True)
+    assert budget.may_reuse()
