--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -62,6 +62,11 @@
     verdict: Refusal | None = None
     decided: anyio.Event = attrs.field(factory=anyio.Event)
     ended_by: Refusal | None = None
+    call: RunningCall | None = None
+
+    def count_spent(self) -> int:
+        """Return the retries spent by the call and its child calls."""
+        return self.call.count_spent() if self.call is not None else 0
 
 
 @attrs.define(eq=False)
@@ -161,6 +166,7 @@
             served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, ()))
             return
         call = self.registry.add(served.head, served.deadline_at_ms)
+        served.call = call
         try:
             await self._run(served, call)
         finally:
@@ -313,7 +319,7 @@
         if served.phase is _Phase.ANSWERED:
             served.responder.abort_body(refusal)
             return
-        head = refusal_to_head(refusal)
+        head = refusal_to_head(refusal, served.count_spent())
         served.responder.send_answer(self._dress(head, served.head, ()))
 
     def _explain_end(self, served: _Served) -> Refusal:
--- /dev/null
+++ b/script/tools/bench_overload.py
@@ -0,0 +1,311 @@
+"""Bench of overload: a three-deep chain with and without the layer, hard-retrying clients."""
+
+import json
+import os
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
+
+import anyio
+import attrs
+import typer
+import uvloop
+from rich.console import Console
+from rich.table import Table
+from script.tools.documents import AccountPlan, RoutePlan, make_document
+
+from wisteria_standins.behaviour import Behaviour, ChildCall, Rule, ServiceTime
+from wisteria_standins.fleet import Fleet
+from wisteria_standins.fleet_spec import Baseline, FleetSpec, ServiceSpec
+from wisteria_standins.load import async_run_load
+from wisteria_standins.load_spec import (
+    HARD_RETRIES,
+    Flow,
+    LoadSpec,
+    OpenLoop,
+    Phase,
+    Target,
+)
+from wisteria_standins.results import LoadResults
+
+DEFAULT_SEED = 20261203
+DEEP_SLOTS = 20
+DEEP_MS = 300.0
+VMS = 2
+CAPACITY_PER_S = VMS * DEEP_SLOTS * 1_000.0 / DEEP_MS
+LEVELS = (1, 2, 4, 8)
+LEVEL_S = 3.0
+CALM_S, SURGE_S, AFTER_S = 2.0, 3.0, 4.0
+CALM_LOAD, SURGE_LOAD = 0.7, 4.0
+SLOWED = 3.0
+STEP_S = 0.25
+RECOVERED = 0.9
+DEADLINE_MS = 3_000
+ALLOWANCE = 3
+SETTLE_S = 4.0
+URGENT_SHARE = 0.05
+ORDER_SHARE = 0.05
+WRONGFUL_CODES = ("210", "211")
+ACCOUNTS = ("wardens", "guides", "crews", "surveyor")
+SURVEYOR_LOAD, OTHER_LOAD = 5 / 3, 0.3
+
+
+@attrs.define
+class WayResults:
+    """What one way gave.
+
+    Parameters
+    ----------
+    levels : dict
+        Results by offered load, as a multiple of the capacity.
+    surge, neighbour : LoadResults
+        Of the surge with a slowed deep service, and of the neighbour at 5x its share.
+    max_runs_of_request, max_runs_of_order : int
+        Most runs of one request id at one service, and of one idempotency key.
+    """
+
+    levels: dict[int, LoadResults] = attrs.field(factory=dict)
+    surge: LoadResults = attrs.field(factory=LoadResults)
+    neighbour: LoadResults = attrs.field(factory=LoadResults)
+    max_runs_of_request: int = 0
+    max_runs_of_order: int = 0
+
+
+def make_key(account: str) -> str:
+    """Return the key of an account."""
+    return f"bench-overload-{account}"
+
+
+def make_spec(with_layer: bool) -> FleetSpec:
+    """Return the chain front -> middle -> deep, two VMs each."""
+    quick = ServiceTime("constant", 1.0)
+    front = Rule("/", quick, children=(ChildCall("/middle"),))
+    middle = Rule("/", quick, children=(ChildCall("/deep"),))
+    deep = Rule("/", ServiceTime("exponential", DEEP_MS))
+    services = (
+        ServiceSpec("front", VMS, Behaviour(slots=200, rules=(front,))),
+        ServiceSpec("middle", VMS, Behaviour(slots=200, rules=(middle,))),
+        ServiceSpec("deep", VMS, Behaviour(slots=DEEP_SLOTS, rules=(deep,))),
+    )
+    accounts = tuple(AccountPlan(name, make_key(name), 10_000, 10_000) for name in ACCOUNTS)
+    common = {"deadline_ms": DEADLINE_MS, "retry_allowance": ALLOWANCE}
+    routes = (
+        RoutePlan("status", "front", "/status", **common),
+        RoutePlan("closure", "front", "/closure", priority="urgent", **common),
+        RoutePlan(
+            "dispatch", "front", "/dispatch", "POST", repeatable=False, priority="high", **common
+        ),
+        RoutePlan("middle", "middle", "/middle", **common),
+        RoutePlan("deep", "deep", "/deep", **common),
+    )
+    baseline = Baseline(
+        {"/middle": "middle", "/deep": "deep", "/": "front"},
+        attempts=ALLOWANCE,
+        timeout_ms=DEADLINE_MS,
+    )
+    return FleetSpec(
+        services,
+        make_document(1, accounts, routes),
+        ("north", "south"),
+        log_level="warning",
+        baseline=None if with_layer else baseline,
+    )
+
+
+def make_flows(weights: dict[str, float]) -> tuple[Flow, ...]:
+    """Return ordinary reads of each account, and urgent and non-repeatable calls."""
+
+    def make(name: str, path: str, account: str, weight: float, **more: Any) -> Flow:
+        return Flow(
+            name,
+            path,
+            account=account,
+            key=make_key(account),
+            deadline_ms=DEADLINE_MS,
+            weight=weight,
+            retry=HARD_RETRIES,
+            **more,
+        )
+
+    reads = tuple(
+        make("status", "/status/{n}", account, weight) for account, weight in weights.items()
+    )
+    total = sum(weights.values())
+    urgent = make("closure", "/closure/{n}", "wardens", total * URGENT_SHARE, priority="urgent")
+    order = make(
+        "dispatch",
+        "/dispatch/{n}",
+        "crews",
+        total * ORDER_SHARE,
+        method="POST",
+        priority="high",
+        with_idempotency_key=True,
+    )
+    return (*reads, urgent, order)
+
+
+@attrs.define
+class Bench:
+    """Offers the loads to one fleet."""
+
+    fleet: Fleet
+    seed: int
+
+    async def run(self) -> WayResults:
+        """Offer every load and return what came of them."""
+        found = WayResults()
+        even = make_flows({"guides": 1.0, "crews": 1.0, "surveyor": 1.0})
+        for level in LEVELS:
+            phases = (Phase(LEVEL_S, level * CAPACITY_PER_S),)
+            found.levels[level] = await self._offer(phases, even)
+        found.neighbour = await self._offer(
+            (Phase(LEVEL_S, (SURVEYOR_LOAD + 2 * OTHER_LOAD) * CAPACITY_PER_S),),
+            make_flows({"guides": OTHER_LOAD, "crews": OTHER_LOAD, "surveyor": SURVEYOR_LOAD}),
+        )
+        found.surge = await self._surge(even)
+        await self._count_runs(found)
+        return found
+
+    async def _offer(self, phases: tuple[Phase, ...], flows: tuple[Flow, ...]) -> LoadResults:
+        targets = tuple(
+            Target(node.vm.caller_port)
+            for node in self.fleet.nodes.values()
+            if node.vm.service == "front"
+        )
+        return await async_run_load(
+            LoadSpec(targets, flows, OpenLoop(phases), seed=self.seed, bucket_s=STEP_S)
+        )
+
+    async def _surge(self, flows: tuple[Flow, ...]) -> LoadResults:
+        """Slow the deep service for the length of a surge."""
+        phases = (
+            Phase(CALM_S, CALM_LOAD * CAPACITY_PER_S, "calm"),
+            Phase(SURGE_S, SURGE_LOAD * CAPACITY_PER_S, "surge"),
+            Phase(AFTER_S, CALM_LOAD * CAPACITY_PER_S, "after"),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._slow_down)
+            return await self._offer(phases, flows)
+
+    async def _slow_down(self) -> None:
+        await anyio.sleep(CALM_S)
+        await self._set_deep(SLOWED)
+        await anyio.sleep(SURGE_S)
+        await self._set_deep(1.0)
+
+    async def _set_deep(self, factor: float) -> None:
+        for vm_id, node in self.fleet.nodes.items():
+            if node.vm.service == "deep":
+                await self.fleet.async_set_backend(vm_id, slow_factor=factor)
+
+    async def _count_runs(self, found: WayResults) -> None:
+        for service in ("front", "middle", "deep"):
+            by_request: dict[str, int] = {}
+            by_key: dict[str, int] = {}
+            for vm_id, node in self.fleet.nodes.items():
+                if node.vm.service != service:
+                    continue
+                runs = await self.fleet.async_runs(vm_id)
+                for name, count in runs["by_request"].items():
+                    by_request[name] = by_request.get(name, 0) + count
+                if service == "front":
+                    for name, count in runs["by_key"].items():
+                        by_key[name] = by_key.get(name, 0) + count
+            found.max_runs_of_request = max(found.max_runs_of_request, *by_request.values(), 0)
+            found.max_runs_of_order = max(found.max_runs_of_order, *by_key.values(), 0)
+
+
+def measure_goodput(results: LoadResults, seconds: float) -> float:
+    """Return whole answers per second that ended while the load was offered."""
+    steps = range(int(seconds / STEP_S))
+    return sum(results.steps[step] for step in steps) / seconds
+
+
+def measure_recovery_s(results: LoadResults) -> float:
+    """Return the time from the end of the surge until goodput is and stays recovered."""
+    target = RECOVERED * CALM_LOAD * CAPACITY_PER_S * STEP_S * 2
+    first = int((CALM_S + SURGE_S) / STEP_S)
+    last = int((CALM_S + SURGE_S + AFTER_S) / STEP_S) - 1
+    recovered = last
+    for step in range(last - 1, first - 1, -1):
+        if results.steps[step] + results.steps[step + 1] < target * 0.8:
+            break
+        recovered = step
+    return (recovered - first) * STEP_S
+
+
+def count_wrongful(results: LoadResults, accounts: tuple[str, ...]) -> tuple[int, int]:
+    """Return refusals for the rate of accounts within theirs, and all their requests."""
+    groups = [results.by_account[name] for name in accounts]
+    refused = sum(group.results[code] for group in groups for code in WRONGFUL_CODES)
+    return refused, sum(group.offered for group in groups)
+
+
+def summarize(layer: WayResults, baseline: WayResults) -> dict[str, Any]:
+    """Return the figures of the last line."""
+    goodput = {n: measure_goodput(one, LEVEL_S) for n, one in layer.levels.items()}
+    plain = {n: measure_goodput(one, LEVEL_S) for n, one in baseline.levels.items()}
+    refused, offered = 0, 0
+    for results in (*layer.levels.values(), layer.neighbour):
+        one = count_wrongful(results, ACCOUNTS)
+        refused, offered = refused + one[0], offered + one[1]
+    shares = [layer.neighbour.by_account[name].success_ratio for name in ("guides", "crews")]
+    return {
+        "goodput_ratio_4x": round(goodput[4] / goodput[1], 3),
+        "baseline_goodput_ratio_4x": round(plain[4] / plain[1], 3),
+        "recovery_s": measure_recovery_s(layer.surge),
+        "baseline_recovery_s": measure_recovery_s(baseline.surge),
+        "urgent_success_4x": round(layer.levels[4].by_priority["urgent"].success_ratio, 4),
+        "worst_account_share": round(min(shares), 3),
+        "wrongful_refusals_percent": round(100.0 * refused / max(1, offered), 3),
+        "max_attempts": layer.max_runs_of_request,
+        "allowance": ALLOWANCE + 1,
+        "max_runs_non_repeatable": layer.max_runs_of_order,
+        "baseline_max_runs_non_repeatable": baseline.max_runs_of_order,
+        "capacity_per_s": CAPACITY_PER_S,
+    }
+
+
+def make_table(ways: dict[str, WayResults]) -> Table:
+    """Return goodput and success of each way at each load."""
+    table = Table("way", "load", "offered", "goodput/s", "urgent", "high", "normal", "p99 ms")
+    for name, way in ways.items():
+        rows = {f"{n}x": one for n, one in way.levels.items()}
+        rows |= {"neighbour 5x": way.neighbour, "surge": way.surge}
+        for title, one in rows.items():
+            seconds = CALM_S + SURGE_S + AFTER_S if title == "surge" else LEVEL_S
+            table.add_row(
+                name,
+                title,
+                str(one.total.offered),
+                f"{measure_goodput(one, seconds):.1f}",
+                *(f"{one.by_priority[p].success_ratio:.3f}" for p in ("urgent", "high", "normal")),
+                f"{one.total.latency_ms(99):.0f}",
+            )
+    return table
+
+
+async def measure_way(with_layer: bool, seed: int) -> WayResults:
+    """Start the chain and offer every load."""
+    async with Fleet(make_spec(with_layer)) as fleet:
+        await anyio.sleep(SETTLE_S if with_layer else 0)
+        return await Bench(fleet, seed).run()
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of arrivals and mix.")] = DEFAULT_SEED,
+    details: Annotated[bool, typer.Option(help="Print results by code of each load.")] = False,
+) -> None:
+    """Offer 1x to 8x of capacity to a three-deep chain, layer on and off, and compare."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    run: Callable[[bool, int], Awaitable[WayResults]] = measure_way
+    layer = uvloop.run(run(True, seed))  # type: ignore[arg-type]
+    baseline = uvloop.run(run(False, seed))  # type: ignore[arg-type]
+    Console(width=120).print(make_table({"layer": layer, "baseline": baseline}))
+    if details:
+        for level, results in layer.levels.items():
+            print(level, dict(results.total.results), f"lag {results.max_lag_ms:.0f} ms")
+    print(json.dumps(summarize(layer, baseline)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
