Add membership: list, heartbeats to a few neighbours, news within a byte budget

Cause: the daemon must know which VMs are usable, and a leaving one within seconds. Ruled out: heartbeats to all (bytes grow with the fleet), a random choice of neighbours in each round (no stable silence to judge), plain rendezvous (some VMs are chosen by many). Before: no membership. After: the state machine and its embedding example; not yet measured. Conclusion: the interface can be called.

--- /dev/null
+++ b/libs/membership/src/wisteria_membership/machine.py
@@ -0,0 +1,380 @@
+"""The state machine that a daemon embeds: one for the whole fleet."""
+
+import attrs
+
+from wisteria_core import VmId, VmList, VmState
+
+from .budget import ByteBudget
+from .config import MembershipConfig
+from .const import NO_VERSION
+from .judgement import judge
+from .models import (
+    Action,
+    AuditEntry,
+    Heartbeat,
+    HeartbeatReply,
+    MembershipMessage,
+    News,
+    NewsKind,
+    PeerRecord,
+    PeerVersions,
+    Send,
+    Status,
+    StatusChanged,
+)
+from .overlay import Overlay
+from .rumours import Rumours
+from .sizes import estimate_bytes
+
+
+class Membership:
+    """Tells which VMs are usable, from the platform's list and direct evidence.
+
+    Every method takes the reading of the daemon's own clock and returns the actions to
+    carry out.
+
+    Parameters
+    ----------
+    vm_id : VmId
+        The daemon's own VM.
+    incarnation : int
+        Higher than that of any earlier process of this VM.
+    now_ms : int
+        Reading of the clock at the start.
+    config : MembershipConfig, optional
+        Times and bounds.
+    """
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        incarnation: int,
+        now_ms: int,
+        config: MembershipConfig | None = None,
+    ) -> None:
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self.config = config or MembershipConfig()
+        self.list_version = NO_VERSION
+        self.versions_ignored = 0
+        self.bytes_sent = 0
+        self.records: dict[VmId, PeerRecord] = {}
+        self.is_leaving = False
+        self._highest_list = NO_VERSION
+        self._own = PeerVersions()
+        self._overlay = Overlay(
+            vm_id, self.config.neighbours_same_domain, self.config.neighbours_other_domains
+        )
+        self._neighbours: tuple[VmId, ...] = ()
+        self._rumours = Rumours()
+        self._budget = ByteBudget(self.config.bytes_per_s, now_ms)
+        self._counter = 0
+        self._sequence = 0
+        self._last_tick_ms = now_ms
+        self._stall_ms = 0
+        self._stall_until_ms = now_ms
+        self._probe_due_ms = now_ms
+        self._actions: list[Action] = []
+        self._tell(NewsKind.STARTED, vm_id, incarnation)
+
+    # --- what the daemon asks
+
+    def status(self, vm_id: VmId) -> Status:
+        """Return the status of a VM; one that the list does not name is gone."""
+        record = self.records.get(vm_id)
+        return Status.GONE if record is None else record.status
+
+    def usable(self, vm_id: VmId) -> bool:
+        """Return whether new work may be sent to a VM."""
+        return self.status(vm_id) is Status.LIVE
+
+    def neighbours(self) -> tuple[VmId, ...]:
+        """Return the VMs that this daemon sends heartbeats to."""
+        return self._neighbours
+
+    def peer_versions(self, vm_id: VmId) -> PeerVersions:
+        """Return the versions that a VM last said it has in force."""
+        record = self.records.get(vm_id)
+        return PeerVersions() if record is None else record.versions
+
+    @property
+    def highest_list_version(self) -> int:
+        """The highest version of the list that any daemon said it has read."""
+        return max(self._highest_list, self.list_version)
+
+    # --- events
+
+    def update_list(self, now_ms: int, vm_list: VmList) -> list[Action]:
+        """Take in a version of the platform's list; a lower one is counted and ignored."""
+        if vm_list.version <= self.list_version:
+            self.versions_ignored += vm_list.version < self.list_version
+            return self._flush()
+        self.list_version = vm_list.version
+        self._own = attrs.evolve(self._own, list_version=vm_list.version)
+        named = {vm.vm_id: vm for vm in vm_list if vm.vm_id != self.vm_id}
+        for vm_id in [vm_id for vm_id in self.records if vm_id not in named]:
+            self._remove(now_ms, vm_id)
+        for vm_id, vm in named.items():
+            record = self.records.get(vm_id)
+            if record is None:
+                record = self.records[vm_id] = PeerRecord(vm_id, due_ms=now_ms)
+            record.leaves_by_list = vm.state is VmState.LEAVING
+            self._judge(now_ms, record)
+        self._rumours.fleet_size = len(vm_list)
+        self._neighbours = self._overlay.find_neighbours(vm_list)
+        return self._flush()
+
+    def set_config(self, config_version: int, config_digest: bytes) -> None:
+        """Set which configuration this daemon has in force."""
+        self._own = attrs.evolve(
+            self._own, config_version=config_version, config_digest=config_digest
+        )
+
+    def handle(
+        self, now_ms: int, sender: VmId, sender_incarnation: int, message: MembershipMessage
+    ) -> list[Action]:
+        """Take in a message; ones of an earlier process of the sender are dropped."""
+        record = self.records.get(sender)
+        if record is not None and sender_incarnation < record.incarnation:
+            return self._flush()
+        self._highest_list = max(self._highest_list, message.list_version)
+        if record is not None:
+            self._take_contact(now_ms, record, sender_incarnation, message)
+        for news in message.news:
+            self._take_news(now_ms, news)
+        match message:
+            case Heartbeat():
+                self._send_reply(now_ms, sender, message)
+            case HeartbeatReply() if record is not None:
+                self._take_answer(now_ms, record, message)
+        return self._flush()
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Send what is due and judge silent VMs; call it several times a second."""
+        self._note_gap(now_ms)
+        for vm_id in self._neighbours:
+            record = self.records[vm_id]
+            if now_ms >= record.due_ms:
+                self._send_heartbeat(now_ms, record)
+        if now_ms >= self._probe_due_ms:
+            self._probe_due_ms = now_ms + self.config.interval_ms
+            self._send_probes(now_ms)
+        for record in self.records.values():
+            if record.status is not Status.LIVE or record.reports:
+                self._judge(now_ms, record)
+        return self._flush()
+
+    def note_call_outcome(self, now_ms: int, vm_id: VmId, is_ok: bool) -> list[Action]:
+        """Note whether a call reached the daemon of a VM; refusals by it count as reached."""
+        record = self.records.get(vm_id)
+        if record is None:
+            return self._flush()
+        if is_ok:
+            self._clear_silence(record)
+        else:
+            record.call_failures += 1
+        self._judge(now_ms, record)
+        return self._flush()
+
+    def note_link(self, now_ms: int, vm_id: VmId, is_open: bool) -> list[Action]:
+        """Note whether a connection to the daemon of a VM stands."""
+        record = self.records.get(vm_id)
+        if record is not None:
+            record.is_linked = is_open
+            self._judge(now_ms, record)
+        return self._flush()
+
+    def note_leaving(self, now_ms: int, vm_id: VmId, is_leaving: bool) -> list[Action]:
+        """Note that a VM's daemon said on an answer whether it takes new work."""
+        record = self.records.get(vm_id)
+        if record is not None:
+            record.leaves_by_notice = is_leaving
+            self._judge(now_ms, record)
+        return self._flush()
+
+    def begin_leave(self, now_ms: int) -> list[Action]:
+        """Tell the fleet that this VM takes no new work: a planned stop, or a drain."""
+        return self._set_leaving(now_ms, True)
+
+    def end_leave(self, now_ms: int) -> list[Action]:
+        """Tell the fleet that this VM takes work again: the backend server's drain ended."""
+        return self._set_leaving(now_ms, False)
+
+    # --- inside: evidence
+
+    def _set_leaving(self, now_ms: int, is_leaving: bool) -> list[Action]:
+        if self.is_leaving is is_leaving:
+            return self._flush()
+        self.is_leaving = is_leaving
+        kind = NewsKind.LEAVING if is_leaving else NewsKind.STAYING
+        self._tell(kind, self.vm_id, self.incarnation)
+        self._actions.append(AuditEntry(now_ms, kind.value, self.vm_id))
+        for vm_id in self._neighbours:
+            self._send_heartbeat(now_ms, self.records[vm_id])
+        return self._flush()
+
+    def _take_contact(
+        self, now_ms: int, record: PeerRecord, incarnation: int, message: MembershipMessage
+    ) -> None:
+        self._note_incarnation(now_ms, record, incarnation)
+        record.leaves_by_notice = message.is_leaving
+        if message.stalled_ms >= self.config.stall_ms:
+            record.stalled_until_ms = now_ms + self.config.stall_hold_ms
+        record.versions = PeerVersions(
+            message.list_version, message.config_version, message.config_digest
+        )
+        self._clear_silence(record)
+        self._judge(now_ms, record)
+
+    def _take_answer(self, now_ms: int, record: PeerRecord, reply: HeartbeatReply) -> None:
+        if record.awaited is not None and reply.sequence >= record.awaited:
+            record.awaited = None
+        if record.has_reported:
+            record.has_reported = False
+            self._tell(NewsKind.REACHABLE, record.vm_id, record.incarnation)
+        self._judge(now_ms, record)
+
+    def _clear_silence(self, record: PeerRecord) -> None:
+        record.unanswered = 0
+        record.call_failures = 0
+        record.reports.clear()
+
+    def _note_incarnation(self, now_ms: int, record: PeerRecord, incarnation: int) -> None:
+        if incarnation <= record.incarnation:
+            return
+        if record.incarnation != NO_VERSION:
+            self._actions.append(
+                AuditEntry(now_ms, "restarted", record.vm_id, f"incarnation={incarnation}")
+            )
+            record.leaves_by_notice = False
+            record.stalled_until_ms = None
+            self._clear_silence(record)
+        record.incarnation = incarnation
+        self._judge(now_ms, record)
+
+    def _take_news(self, now_ms: int, news: News) -> None:
+        record = self.records.get(news.subject)
+        if news.origin == self.vm_id or news.subject == self.vm_id or record is None:
+            return
+        if news.incarnation < record.incarnation or not self._rumours.add(news):
+            return
+        self._note_incarnation(now_ms, record, news.incarnation)
+        match news.kind:
+            case NewsKind.STARTED:
+                pass
+            case NewsKind.LEAVING:
+                record.leaves_by_notice = True
+                self._hasten(now_ms)
+            case NewsKind.STAYING:
+                record.leaves_by_notice = False
+            case NewsKind.UNREACHABLE:
+                record.reports[news.origin] = now_ms + self.config.report_ms
+            case NewsKind.REACHABLE:
+                record.reports.pop(news.origin, None)
+        self._judge(now_ms, record)
+
+    def _judge(self, now_ms: int, record: PeerRecord) -> None:
+        new, reason = judge(record, now_ms, self.config)
+        if new is record.status:
+            return
+        self._change(now_ms, record, new, reason)
+        if new in (Status.UNREACHABLE, Status.PAUSED) and record.unanswered >= self.config.misses:
+            record.has_reported = True
+            self._tell(NewsKind.UNREACHABLE, record.vm_id, record.incarnation)
+
+    def _remove(self, now_ms: int, vm_id: VmId) -> None:
+        record = self.records.pop(vm_id)
+        self._change(now_ms, record, Status.GONE, "list")
+        self._rumours.forget(vm_id)
+
+    def _change(self, now_ms: int, record: PeerRecord, new: Status, reason: str) -> None:
+        old, record.status = record.status, new
+        self._actions.append(StatusChanged(record.vm_id, old, new, reason))
+        detail = f"{old.value} to {new.value}: {reason}"
+        self._actions.append(AuditEntry(now_ms, "status", record.vm_id, detail))
+
+    def _note_gap(self, now_ms: int) -> None:
+        """After a stall of the own loop nobody else's silence counts."""
+        gap_ms = now_ms - self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if gap_ms >= self.config.stall_ms:
+            self._stall_ms = gap_ms
+            self._stall_until_ms = now_ms + self.config.stall_hold_ms
+            for record in self.records.values():
+                record.unanswered = 0
+                record.awaited = None
+        elif now_ms >= self._stall_until_ms:
+            self._stall_ms = 0
+
+    # --- inside: messages
+
+    def _tell(self, kind: NewsKind, subject: VmId, incarnation: int) -> None:
+        self._counter += 1
+        news = News(kind, subject, incarnation, self.vm_id, self.incarnation, self._counter)
+        self._rumours.add(news)
+
+    def _send_heartbeat(self, now_ms: int, record: PeerRecord) -> None:
+        if record.awaited is not None:
+            record.unanswered += 1
+        self._judge(now_ms, record)
+        self._sequence += 1
+        record.awaited = self._sequence
+        record.due_ms = now_ms + self.config.interval_ms
+        self._send(now_ms, record.vm_id, Heartbeat, self._sequence)
+
+    def _send_probes(self, now_ms: int) -> None:
+        doubtful = [
+            record
+            for record in self.records.values()
+            if record.status in (Status.UNREACHABLE, Status.PAUSED)
+            and record.vm_id not in self._neighbours
+            and now_ms >= record.due_ms
+        ]
+        doubtful.sort(key=lambda record: record.due_ms)
+        for record in doubtful[: self.config.probes]:
+            self._send_heartbeat(now_ms, record)
+
+    def _send_reply(self, now_ms: int, sender: VmId, heartbeat: Heartbeat) -> None:
+        self._send(now_ms, sender, HeartbeatReply, heartbeat.sequence)
+
+    def _hasten(self, now_ms: int) -> None:
+        """Pass urgent news on at once as far as the byte budget allows."""
+        for vm_id in self._neighbours:
+            record = self.records[vm_id]
+            record.due_ms = min(record.due_ms, now_ms + self._hurry_ms(now_ms))
+
+    def _hurry_ms(self, now_ms: int) -> int:
+        ample = self._budget.available(now_ms) >= self.config.bytes_per_s
+        return 0 if ample else self.config.interval_ms
+
+    def _send(
+        self, now_ms: int, vm_id: VmId, kind: type[Heartbeat] | type[HeartbeatReply], sequence: int
+    ) -> None:
+        empty = self._make(kind, sequence, ())
+        spare = self._budget.available(now_ms) - estimate_bytes(empty)
+        news = self._rumours.select(min(spare, self.config.news_bytes))
+        message = self._make(kind, sequence, news)
+        size = estimate_bytes(message)
+        self._budget.spend(size)
+        self.bytes_sent += size
+        self._actions.append(Send(vm_id, message))
+
+    def _make(
+        self,
+        kind: type[Heartbeat] | type[HeartbeatReply],
+        sequence: int,
+        news: tuple[News, ...],
+    ) -> MembershipMessage:
+        return kind(
+            sequence=sequence,
+            list_version=self._own.list_version,
+            config_version=self._own.config_version,
+            config_digest=self._own.config_digest,
+            is_leaving=self.is_leaving,
+            stalled_ms=self._stall_ms,
+            news=news,
+        )
+
+    def _flush(self) -> list[Action]:
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/libs/membership/src/wisteria_membership/sizes.py
@@ -0,0 +1,22 @@
+"""Estimated sizes of messages on the wire, in bytes."""
+
+from collections.abc import Iterable
+
+from .const import FRAME_BYTES, HEARTBEAT_BYTES, NEWS_BYTES
+from .models import MembershipMessage, News
+
+
+def estimate_news_bytes(news: News) -> int:
+    """Return the bytes that one piece of news adds to a message."""
+    names = len(news.subject) + len(news.origin)
+    return NEWS_BYTES + names + names // 8
+
+
+def estimate_bytes(message: MembershipMessage) -> int:
+    """Return the bytes of a message with its frame."""
+    return FRAME_BYTES + HEARTBEAT_BYTES + sum_news_bytes(message.news)
+
+
+def sum_news_bytes(news: Iterable[News]) -> int:
+    """Return the bytes that several pieces of news add to a message."""
+    return sum(estimate_news_bytes(item) for item in news)
--- /dev/null
+++ b/tests/membership/test_embedding.py
@@ -0,0 +1,19 @@
+"""The example in the library's README runs as printed."""
+
+import re
+from pathlib import Path
+
+from wisteria_membership import Status
+
+README = Path(__file__).parents[2] / "libs" / "membership" / "README.md"
+MAX_LINES = 30
+
+
+def test_example_of_readme_runs() -> None:
+    match = re.search(r"```python\n(.*?)```", README.read_text(), re.DOTALL)
+    assert match is not None
+    code = match.group(1)
+    assert len(code.splitlines()) <= MAX_LINES
+    scope: dict[str, object] = {}
+    exec(compile(code, str(README), "exec"), scope)
+    assert scope["status"] is Status.LEAVING
