--- a/libs/routing/src/wisteria_routing/poison.py
+++ b/libs/routing/src/wisteria_routing/poison.py
@@ -68,9 +68,9 @@
 
     After one shared crash a request runs beside a few other suspects at most; after a second
     one, or a crash that it alone can have caused, beside no other suspect. It is refused for
-    good after `MAX_CRASHES` crashes of which one was its alone, or two that were its alone. A
-    success clears the shared crashes. The evidence is a set of crashes, so that reports may
-    arrive late, doubled and in any order.
+    good after `MAX_CRASHES` crashes of which one was its alone, or two that were its alone,
+    without a success in between: a success clears it of the crashes known so far. The evidence
+    is a set of crashes, so that reports may arrive late, doubled and in any order.
 
     Parameters
     ----------
@@ -129,14 +129,10 @@
         if fingerprint is None or not succeeded:
             return None
         self._note_success(now_ms, fingerprint)
-        shared = tuple(
-            crash_id
-            for crash_id, evidence in self._evidence(now_ms, fingerprint).items()
-            if not evidence.sole
-        )
-        if not shared:
+        crash_ids = tuple(self._evidence(now_ms, fingerprint))
+        if not crash_ids or self._records[fingerprint].convicted:
             return None
-        cleared = SuspicionCleared(fingerprint, shared)
+        cleared = SuspicionCleared(fingerprint, crash_ids)
         self.note_cleared(now_ms, cleared)
         return cleared
 
