Set every gauge and count reads, retries and control bytes; mend wisteriactl audit

Cause: no gauge was ever set, five counters had no place that added to them, and describe_status stood in app.py without rates, loans, poison or terms of slots. `wisteriactl audit` asked for "entries" while the daemon answers "records", so it failed against every real daemon; its test used an answer of its own making. Ruled out: counting bytes on links by frame kind, which would put a counter on the call path; control bytes are counted by message class instead. Before: a scrape held calls, durations and audit events alone.

--- a/libs/ctl/src/wisteriactl/daemon.py
+++ b/libs/ctl/src/wisteriactl/daemon.py
@@ -10,7 +10,16 @@
 Address = typer.Argument(help="HOST:PORT of the daemon's operators' port.", show_default=False)
 
 _STATUS_LISTS = ("peers", "slots", "limits")
-_AUDIT_COLUMNS = ("at", "kind", "from_version", "to_version", "outcome", "reason")
+_STATUS_TABLES = ("queues", "rates", "loans", "chain_levels", "poison", "slot_events", "control")
+_AUDIT_COLUMNS = (
+    "at_utc",
+    "kind",
+    "subject",
+    "from_version",
+    "to_version",
+    "outcome",
+    "reason",
+)
 
 
 def status(address: Annotated[str, Address], as_json: Annotated[bool, JSON_OPTION] = False) -> None:
@@ -26,9 +35,10 @@
     print_table(f"daemon at {address}", ("field", "value"), plain)
     for name in _STATUS_LISTS:
         print_objects(name, _objects(answer, name))
-    queues = answer.get("queues")
-    if isinstance(queues, dict):
-        print_table("queues", ("queue", "value"), list(queues.items()))
+    for name in _STATUS_TABLES:
+        content = answer.get(name)
+        if isinstance(content, dict) and content:
+            _print_named(name, content)
 
 
 def audit(address: Annotated[str, Address], as_json: Annotated[bool, JSON_OPTION] = False) -> None:
@@ -40,12 +50,20 @@
     if as_json:
         print_json(answer)
         return
-    if "entries" not in answer:
-        fail(f"the answer of {address} holds no audit entries; is this an operators' port?")
-    rows = [[entry.get(name) for name in _AUDIT_COLUMNS] for entry in _objects(answer, "entries")]
+    if "records" not in answer:
+        fail(f"the answer of {address} holds no audit records; is this an operators' port?")
+    rows = [[entry.get(name) for name in _AUDIT_COLUMNS] for entry in _objects(answer, "records")]
     print_table(f"audit trail of {address}", _AUDIT_COLUMNS, rows)
 
 
+def _print_named(title: str, content: dict[str, Any]) -> None:
+    """Print an object as a table: a row for each name."""
+    if not all(isinstance(value, dict) for value in content.values()):
+        print_table(title, ("name", "value"), list(content.items()))
+        return
+    print_objects(title, [{"name": name, **value} for name, value in content.items()])
+
+
 def _is_nested(value: object) -> bool:
     return isinstance(value, dict | list)
 
--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -11,13 +11,16 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream
 
-from wisteria_config import Document, document_digest
+from wisteria_config import Document
 from wisteria_core import Clock, Refusal, ResultCode, VmList
 from wisteria_wire import CallHead, Link, ServedCall
+from wisteria_wire.models import FrameFault
 
 from .audit import AuditTrail
+from .control import ControlFault
+from .diagnostics import Diagnostics
 from .gaps import GapMonitor
-from .metrics import Metrics
+from .metrics import AUDIT_EVENTS, LINK_FAULTS, PLATFORM_READS, Metrics
 from .operators import (
     OperatorApp,
     Readiness,
@@ -44,6 +47,7 @@
 INCARNATION_RANDOM_BITS = 5
 RESULT_BUFFER = 16
 STOP_POLL_MS = 20
+LINK_FAULT_REASONS = frozenset(fault.value for fault in (*FrameFault, ControlFault.GARBLED))
 
 
 def make_incarnation() -> int:
@@ -75,8 +79,10 @@
         self.vm_list: VmList | None = None
         self.is_list_current = False
         incarnation = make_incarnation()
+        metrics = Metrics()
+        audit = AuditTrail(counts=metrics.counter(AUDIT_EVENTS))
         self.identity = Identity(
-            settings, clock, tasks, incarnation, Random(incarnation), AuditTrail(), Metrics()
+            settings, clock, tasks, incarnation, Random(incarnation), audit, metrics
         )
         self._http = http
         self._list_client = self._make_client(Resource.VMS, settings.platform.vms_url)
@@ -90,6 +96,10 @@
             self._put_in_force,
         )
         self.path = build_call_path(self.identity, self.shared, self._check_ready)
+        self.diagnostics = Diagnostics(
+            self.identity, self.shared, self.path, self.gaps, self.check_ready
+        )
+        self.diagnostics.register()
 
     # LinkOwner
 
@@ -113,6 +123,8 @@
     def handle_link_closed(self, link: Link, reason: str) -> None:
         """Forget a link; a peer without any link counts as silent."""
         self.shared.links.remove(link)
+        if reason in LINK_FAULT_REASONS:
+            self.identity.metrics.counter(LINK_FAULTS).add((reason,))
         if link.peer is None or self.shared.links.find(link.peer.vm_id) is not None:
             return
         _LOGGER.info("link_closed", extra={"peer": link.peer.vm_id, "reason": reason})
@@ -123,27 +135,7 @@
 
     def describe_status(self) -> dict[str, Any]:
         """Return what operators see."""
-        readiness = self.check_ready()
-        document = self.shared.configuration.document
-        vm = self.settings.vm
-        return {
-            "version": document.version if document else None,
-            "digest": document_digest(document).hex() if document else None,
-            "age_ms": self.shared.configuration.age_ms(),
-            "ready": readiness.ready,
-            "reason": readiness.reason,
-            "vm": vm.id,
-            "incarnation": self.identity.incarnation,
-            "service": vm.service,
-            "failure_domain": vm.failure_domain,
-            "peers": self._describe_peers(),
-            "slots": [str(slot) for slot in self.shared.slots.ownership.held_slots()],
-            "limits": [self.path.serving.gate.describe()],
-            "queues": {
-                "entry": self.path.entry.in_flight,
-                "serving": self.path.serving.in_flight,
-            },
-        }
+        return self.diagnostics.describe_status()
 
     def check_ready(self) -> Readiness:
         """Return whether the daemon takes calls."""
@@ -214,7 +206,8 @@
     # the platform's list
 
     def _make_client(self, resource: Resource, url: str) -> PlatformClient:
-        return PlatformClient(resource, url, self.settings.timing, self._http)
+        counts = self.identity.metrics.counter(PLATFORM_READS)
+        return PlatformClient(resource, url, self.settings.timing, self._http, counts)
 
     async def _run_list(self) -> None:
         send, receive = anyio.create_memory_object_stream[ReadResult](RESULT_BUFFER)
@@ -287,19 +280,6 @@
             return _not_ready("the configuration in force has not been learned yet")
         return None
 
-    def _describe_peers(self) -> list[dict[str, Any]]:
-        if self.vm_list is None:
-            return []
-        return [
-            {
-                "vm": vm.vm_id,
-                "state": vm.state.value,
-                "connected": self.shared.links.find(vm.vm_id) is not None,
-            }
-            for vm in self.vm_list
-            if vm.vm_id != self.identity.vm_id
-        ]
-
 
 def _not_ready(reason: str) -> Refusal:
     return Refusal(ResultCode.NOT_READY, reason, retry_after_ms=1_000)
--- a/libs/daemon/src/wisteriaproxy/control/plane.py
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -12,8 +12,9 @@
 from wisteria_core import Refusal, Vm, VmId
 from wisteria_wire import Link, LinkPool
 
+from ..metrics import LINK_BYTES, Counts
 from .codec import ControlFault, decode_control, encode_control
-from .kinds import NUMBERS
+from .kinds import KINDS, NUMBERS
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
     sent_bytes: int = 0
     received_bytes: int = 0
     counts: Counter[str] = attrs.field(factory=Counter)
+    link_bytes: Counts = attrs.field(factory=lambda: Counts(LINK_BYTES))
     _handlers: dict[type[Any], Handler] = attrs.field(factory=dict)
 
     def register(self, handler: Handler, *kinds: type[Any]) -> None:
@@ -65,7 +67,7 @@
 
     def handle(self, link: Link, number: int, payload: bytes) -> None:
         """Take in the bytes of a control message; garbled ones close the link."""
-        self.received_bytes += len(payload)
+        self._count_received(number, len(payload))
         message = decode_control(number, payload)
         if isinstance(message, ControlFault):
             self.counts[message.name.lower()] += 1
@@ -75,6 +77,10 @@
         assert link.peer is not None
         self._dispatch(link.peer.vm_id, link.peer.incarnation, message)
 
+    def _count_received(self, number: int, size: int) -> None:
+        self.received_bytes += size
+        self.link_bytes.add(("received", _name_kind(number)), size)
+
     def _dispatch(self, sender: VmId, incarnation: int, message: Any) -> None:
         handler = self._handlers.get(type(message))
         if handler is not None:
@@ -89,4 +95,10 @@
 
     def _write(self, link: Link, number: int, payload: bytes) -> None:
         self.sent_bytes += len(payload)
+        self.link_bytes.add(("sent", _name_kind(number)), len(payload))
         link.send_control(number, payload)
+
+
+def _name_kind(number: int) -> str:
+    cls = KINDS.get(number)
+    return cls.__name__ if cls is not None else "unknown"
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -24,6 +24,7 @@
 
 from .answers import head_to_refusal, refusal_to_head
 from .fleet import FleetView
+from .metrics import RETRIES, Counts
 from .responders import LocalCall, Reply
 
 _LOGGER = logging.getLogger(__name__)
@@ -70,6 +71,7 @@
     random: Random
     own_vm: VmId
     serve_locally: Callable[[LocalCall, CallHead], None]
+    retry_counts: Counts = attrs.field(factory=lambda: Counts(RETRIES))
 
     async def forward(
         self,
@@ -153,6 +155,7 @@
                 forwarded.reply.cancel()
             self.earlier = merge_run_states(self.earlier, failure.run_state)
             self.retries += 1
+            self.forwarder.retry_counts.add((self.head.service,))
             await anyio.sleep(decision.delay_ms / _MS_PER_S)
 
     @property
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -52,7 +52,10 @@
     "backend_calls_total", "counter", "Calls sent to the backend server.", ("outcome",)
 )
 LINK_BYTES = Family(
-    "link_bytes_total", "counter", "Bytes on links between daemons.", ("direction", "kind")
+    "link_bytes_total",
+    "counter",
+    "Bytes of control messages between daemons.",
+    ("direction", "kind"),
 )
 LINK_FAULTS = Family(
     "link_faults_total", "counter", "Links closed for a fault of the other side.", ("reason",)
--- a/libs/daemon/src/wisteriaproxy/platform.py
+++ b/libs/daemon/src/wisteriaproxy/platform.py
@@ -14,6 +14,7 @@
 
 from .const import MAX_VALUE_BYTES
 from .httpx_slim import httpx
+from .metrics import PLATFORM_READS, Counts
 from .settings import PlatformSettings, TimingSettings
 
 _LOGGER = logging.getLogger(__name__)
@@ -189,6 +190,7 @@
     _url: str
     _timing: TimingSettings
     _http: httpx.AsyncClient
+    counts: Counts = attrs.field(factory=lambda: Counts(PLATFORM_READS))
 
     async def async_read(self) -> ReadResult:
         """Read the published version."""
@@ -210,9 +212,11 @@
     async def _async_get(self, params: dict[str, str], timeout_ms: int) -> ReadResult:
         try:
             with anyio.fail_after(timeout_ms / MS_PER_S):
-                return await self._async_stream(params, timeout_ms)
+                result = await self._async_stream(params, timeout_ms)
         except (httpx.HTTPError, TimeoutError) as error:
-            return self._fail(f"{type(error).__name__} {error}".strip())
+            result = self._fail(f"{type(error).__name__} {error}".strip())
+        self.counts.add((self.resource.value, _name_outcome(result)))
+        return result
 
     async def _async_stream(self, params: dict[str, str], timeout_ms: int) -> ReadResult:
         timeout = httpx.Timeout(self._timing.read_timeout_ms / MS_PER_S, read=timeout_ms / MS_PER_S)
@@ -242,6 +246,16 @@
         return ReadFailed(self.resource, reason)
 
 
+def _name_outcome(result: ReadResult) -> str:
+    match result:
+        case NoNews():
+            return "unchanged"
+        case ReadFailed():
+            return "failed"
+        case _:
+            return "read"
+
+
 _NOTHING_LATER = NoNews(Resource.DOCUMENT, -1)
 
 
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 import anyio
@@ -19,7 +20,7 @@
     Ticket,
 )
 from wisteria_config import Document
-from wisteria_core import Clock, Refusal, ResultCode, RunState
+from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
 from wisteria_wire import INLINE_BODY_BYTES, AnswerHead, CallHead, HttpCall
 
 from .answers import refusal_to_head
@@ -28,6 +29,7 @@
 from .crashes import CrashWatch
 from .headers import filter_answer_headers
 from .logs import ATTR_REQUEST_ID
+from .metrics import BACKEND_CALLS, Counts
 from .responders import Responder
 
 _LOGGER = logging.getLogger(__name__)
@@ -92,6 +94,7 @@
     crashes: CrashWatch
     is_stopping: bool = False
     is_draining: bool = False
+    backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _Served] = attrs.field(factory=dict)
     _next_id: int = 0
 
@@ -105,6 +108,11 @@
         """Whether this VM takes no new work."""
         return self.is_stopping or self.is_draining
 
+    def count_waiting(self) -> Counter[Priority]:
+        """Return the calls that wait to be sent, by priority."""
+        served = self._calls.values()
+        return Counter(one.head.priority for one in served if one.phase is _Phase.WAITING)
+
     async def serve(self, responder: Responder, head: CallHead) -> None:
         """Serve one call to its end; every outcome is sent to `responder`."""
         now_ms = self.clock.now_ms()
@@ -233,6 +241,8 @@
     def _leave_gate(self, call_id: int, served: _Served) -> None:
         now_ms = self.clock.now_ms()
         latency_ms = now_ms - served.sent_at_ms if served.sent_at_ms else 0
+        if served.phase is not _Phase.WAITING:
+            self.backend_calls.add((served.outcome.value,))
         self._apply(self.gate.cancel(now_ms, call_id))
         self._apply(self.gate.release(now_ms, call_id, served.outcome, latency_ms))
 
--- a/tests/wisteriactl/test_cli.py
+++ b/tests/wisteriactl/test_cli.py
@@ -17,21 +17,25 @@
     "ready": True,
     "vm": "vm-1\x1b[2J",
     "peers": [{"vm": "vm-2", "state": "live"}],
-    "slots": [],
+    "slots": [{"name": "rate/co-op/0@north", "term": 3}],
     "limits": [{"account": "co-op", "rate": 40}],
     "queues": {"urgent": 0},
+    "rates": {"co-op": {"held_milli": 4_500, "waiting": 0}},
+    "loans": {},
 }
 AUDIT = {
-    "entries": [
+    "total": 1,
+    "records": [
         {
-            "at": "2026-12-03T22:00:00Z",
+            "at_utc": "2026-12-03T22:00:00Z",
             "kind": "configuration",
+            "subject": "document",
             "from_version": 6,
             "to_version": 7,
             "outcome": "accepted",
             "reason": "[bold]withdraws key k-17",
         }
-    ]
+    ],
 }
 
 
@@ -116,7 +120,7 @@
     status, output = run("status", address)
     assert status == 0
     assert "\x1b" not in output
-    for part in ("vm-1", "vm-2", "co-op", "urgent"):
+    for part in ("vm-1", "vm-2", "co-op", "urgent", "rate/co-op/0@north", "held_milli"):
         assert part in output
     status, output = run("audit", address)
     assert status == 0
