--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -8,7 +8,13 @@
 from .config import LimiterConfig
 from .models import Outcome
 
-BASELINE_FALL = 0.3
+BASELINE_WINDOWS = 3
+"""Windows after the start that the baseline averages: the first holds short calls only."""
+
+FAR_SHORTER = 0.75
+"""Part of the baseline below which a latency is a change and no scatter."""
+
+BASELINE_FALL = 0.1
 """Share of the gap to a lower latency that the baseline closes in each window."""
 
 STEADY_GROWTHS = 3
@@ -152,6 +158,7 @@
     ceiling: int = 1
     _limit: float = attrs.field(init=False)
     _baseline_ms: float = attrs.field(init=False, default=0.0)
+    _windows: int = attrs.field(init=False, default=0)
     _cold: bool = attrs.field(init=False, default=True)
     _window: _Window = attrs.field(init=False, factory=_Window)
     _growths: int = attrs.field(init=False, default=0)
@@ -199,24 +206,29 @@
         """Return whether the limit was reached, so that a higher one can be of use."""
         return 2 * window.peak_running >= self._limit
 
-    def _track_baseline(self, mean: float) -> None:
-        """Follow a lower latency fast and a higher one slowly."""
-        if not self._baseline_ms:
-            self._baseline_ms = mean
+    def _track_baseline(self, mean_ms: float) -> None:
+        """Follow a far lower latency at once, a lower one soon and a higher one slowly."""
+        if self._windows < BASELINE_WINDOWS:
+            self._windows += 1
+            self._baseline_ms += (mean_ms - self._baseline_ms) / self._windows
             return
-        shorter = mean < self._baseline_ms
+        if mean_ms < FAR_SHORTER * self._baseline_ms:
+            self._baseline_ms = mean_ms
+            return
+        shorter = mean_ms < self._baseline_ms
         drift = BASELINE_FALL if shorter else self.config.baseline_drift
-        self._baseline_ms += (mean - self._baseline_ms) * drift
+        self._baseline_ms += (mean_ms - self._baseline_ms) * drift
 
     def _watch_cuts(self, now_ms: int, before: float, latency_ms: float) -> None:
         """Begin a descent when calls are far too long or a run of cuts has gone deep."""
+        at_floor = self._limit <= self._floor() and self._is_too_long(latency_ms)
         if self._limit > before:
             self._cut_from = None
-        elif self._limit < before:
+        elif self._limit < before or at_floor:
             self._growths = 0
             self._cut_from = self._cut_from or before
             far = latency_ms > FAR_TOO_LONG * self.config.tolerance * self._baseline_ms
-            if far or self._limit <= DESCENT_DEPTH * self._cut_from:
+            if far or at_floor or self._limit <= DESCENT_DEPTH * self._cut_from:
                 self._descent = _Descent(self._cut_from, _Step(self._limit, now_ms))
 
     def _advance_descent(self, now_ms: int, descent: _Descent) -> None:
@@ -234,6 +246,9 @@
             self._clamp()
             descent.previous, descent.step = step, _Step(self._limit, now_ms)
             return
+        elif step.ended:
+            # there is no congestion left at the floor: calls take as long as this
+            self._baseline_ms = step.mean_ms()
         self._descent = None
         self._cut_from = None
         self._window = _Window(now_ms)
