--- a/libs/config/src/wisteria_config/dissemination/learning.py
+++ b/libs/config/src/wisteria_config/dissemination/learning.py
@@ -29,8 +29,8 @@
       there are fewer);
     - `learn_wait_ms` have passed and some ready peer has answered: a partition may hide the
       other failure domains for long, and each part keeps serving;
-    - `cold_wait_ms` have passed, most of the peers that were asked have answered, and none is
-      ready: the whole fleet is starting.
+    - the whole fleet is starting: no peer that answers is ready, and either every listed peer
+      has answered, or `cold_wait_ms` have passed and most of those that were asked have.
 
     Parameters
     ----------
@@ -69,6 +69,8 @@
         wanted = min(config.learn_domains, len(set(domains.values())))
         if ready:
             return len(ready) >= wanted or waited_ms >= config.learn_wait_ms
+        if domains and self.answers.keys() >= domains.keys():
+            return True
         if waited_ms < config.cold_wait_ms:
             return False
         asked = self.asked & domains.keys()
--- a/libs/config/src/wisteria_config/dissemination/machine.py
+++ b/libs/config/src/wisteria_config/dissemination/machine.py
@@ -5,7 +5,6 @@
 from wisteria_core import FailureDomain, VmId, VmList, digest
 
 from ..canonical import document_digest
-from ..changes import describe_changes
 from ..models import Document, DocumentErrors
 from ..validation import validate_document
 from ..versions import VersionOrder, VersionStamp, compare_versions
@@ -35,10 +34,10 @@
 )
 from .overlay import FleetView
 from .reads import ReadSchedule
+from .reasons import describe_errors, describe_replacement
 
 _NONCE_ROUNDS = 1 << 16
 _MAX_REMEMBERED = 64
-_MAX_REASONS = 10
 _FROM_SERVICE = "the configuration service"
 
 
@@ -185,13 +184,18 @@
     def _become_ready(self, now_ms: int) -> None:
         if self.ready or self.fleet.vms is None or self.stamp is None:
             return
-        required = self.learning.required_version(self.fleet.domains, self.refused)
-        if self.stamp.version < required:
+        if self.stamp.version < self._required_version():
             return
         if self.learning.has_heard_enough(self.fleet.domains, self.config, now_ms):
             self.ready = True
             self._actions.append(ReadyChanged(True))
 
+    def _required_version(self) -> int:
+        """Return the highest version that a peer has answered while this VM learns."""
+        if self.ready:
+            return NO_VERSION
+        return self.learning.required_version(self.fleet.domains, self.refused)
+
     def _announce_in_turn(self, now_ms: int) -> None:
         if now_ms < self._next_announce_ms:
             return
@@ -281,25 +285,36 @@
         else:
             self.reads.back_off(now_ms)
         key = digest(outcome.raw)
-        if key not in self._seen_raw:
-            self._seen_raw[key] = self._examine(outcome, now_ms)
-        stamp = self._seen_raw[key]
+        if key in self._seen_raw:
+            stamp = self._seen_raw[key]
+        else:
+            stamp = self._examine(outcome, now_ms)
+            if stamp is not None and self._is_newer(stamp):
+                self.stale_answers += 1
+                return
+            self._seen_raw[key] = stamp
         if stamp is None or self._judge_published(stamp, outcome.revision):
             self._deal_with(outcome.revision, now_ms)
 
     def _examine(self, outcome: ServiceDocument, now_ms: int) -> VersionStamp | None:
-        """Validate a document that was not seen before, and put it in force when newer."""
+        """Validate a document that was not seen before, and put it in force when newer.
+
+        A document below the version that a peer has answered comes from a stale replica.
+        """
         document = validate_document(outcome.raw)
         if isinstance(document, DocumentErrors):
             self._audit_invalid(NO_VERSION, _FROM_SERVICE, document)
             return None
         stamp = VersionStamp(document.version, document_digest(document))
-        if compare_versions(stamp, self.stamp) is VersionOrder.NEWER:
+        if self._is_newer(stamp) and stamp.version >= self._required_version():
             self._deal_with(outcome.revision, now_ms)
             self._accept(document, stamp, _FROM_SERVICE, now_ms)
             self._request(self.fetcher.refresh(self._held(), now_ms))
         return stamp
 
+    def _is_newer(self, stamp: VersionStamp) -> bool:
+        return compare_versions(stamp, self.stamp) is VersionOrder.NEWER
+
     def _judge_published(self, stamp: VersionStamp, revision: int) -> bool:
         """Return False for the answer of a stale replica, which confirms nothing."""
         match compare_versions(stamp, self.stamp):
@@ -329,9 +344,9 @@
         told: VmId | None = None,
     ) -> None:
         previous = self.document
-        if compare_versions(stamp, self.stamp) is not VersionOrder.NEWER:
+        if not self._is_newer(stamp):
             return
-        reason = _describe_replacement(previous, document)
+        reason = describe_replacement(previous, document)
         self._audit(stamp.version, AuditOutcome.ACCEPTED, origin, reason)
         self.history.put(document, stamp, raw)
         self._actions.append(InForce(document, stamp, previous))
@@ -344,8 +359,7 @@
         self._audit_invalid(stamp.version, origin, errors)
 
     def _audit_invalid(self, version: int, origin: str, errors: DocumentErrors) -> None:
-        words = _join(tuple(f"{error.place} {error.problem}" for error in errors.errors))
-        self._audit(version, AuditOutcome.REFUSED_INVALID, origin, words)
+        self._audit(version, AuditOutcome.REFUSED_INVALID, origin, describe_errors(errors))
 
     def _refuse_conflict(self, stamp: VersionStamp, origin: str) -> None:
         if stamp in self.refused:
@@ -365,15 +379,3 @@
 
 def _fields(stamp: VersionStamp) -> tuple[int, bytes]:
     return stamp.version, stamp.digest
-
-
-def _describe_replacement(old: Document | None, new: Document) -> str:
-    if old is None:
-        return "first document"
-    return _join(describe_changes(old, new)) or "no change but the version"
-
-
-def _join(reasons: tuple[str, ...]) -> str:
-    left = len(reasons) - _MAX_REASONS
-    more = (f"and {left} more",) if left > 0 else ()
-    return "; ".join(reasons[:_MAX_REASONS] + more)
