--- a/libs/limits/src/wisteria_limits/account.py
+++ b/libs/limits/src/wisteria_limits/account.py
@@ -7,7 +7,7 @@
 from wisteria_core import Refusal, ResultCode
 
 from .config import LimitsConfig
-from .const import MILLI_PER_CALL, MS_PER_S
+from .const import MILLI_PER_CALL, MS_PER_S, POOR_YIELD_DIVISOR
 from .demand import Demand
 from .lenders import Lenders
 from .loans import HeldLoans
@@ -50,6 +50,15 @@
     next_ask_ms: int = 0
     ask_interval_ms: int = 0
     next_report_ms: int = 0
+    round_asked_milli: int = 0
+    round_granted_milli: int = 0
+
+    def active(self, now_ms: int) -> bool:
+        """Return whether the account has calls, loans or requests to look after."""
+        if self.waiting or self.loans.held() or self.lenders.asked_milli:
+            return True
+        arrival_ms = self.demand.last_arrival_ms
+        return arrival_ms is not None and now_ms - arrival_ms <= self.config.idle_return_ms
 
     def draw(self, now_ms: int) -> Admitted | None:
         """Take one call's token, or None when too little is held."""
@@ -110,20 +119,39 @@
     def wish(self, now_ms: int) -> Wish:
         """Return what is worth asking for now."""
         needed = len(self.waiting) * MILLI_PER_CALL - self.loans.total_milli
-        asked = self.lenders.asked_milli()
+        asked = self.lenders.asked_milli
         target = self.target_milli(now_ms)
         held = self.loans.total_milli + asked
         reserve = target - held if held < target // 2 or needed > 0 else 0
         return Wish(max(0, needed - asked), max(0, reserve - max(0, needed - asked)))
 
+    def note_asked(self, now_ms: int, amount_milli: int) -> None:
+        """Pace the requests: the pause doubles while little of a round is granted."""
+        poor = self.round_granted_milli * POOR_YIELD_DIVISOR < self.round_asked_milli
+        recent = now_ms - self.next_ask_ms < self.config.idle_return_ms
+        doubled = min(2 * self.ask_interval_ms, self.config.ask_interval_max_ms)
+        self.ask_interval_ms = doubled if poor and recent else self.config.ask_interval_ms
+        self.next_ask_ms = now_ms + self.ask_interval_ms
+        self.round_asked_milli = amount_milli
+        self.round_granted_milli = 0
+
+    def report_due(self, now_ms: int) -> bool:
+        """Return whether spent tokens should be reported without waiting for a request."""
+        if now_ms >= self.next_report_ms:
+            return True
+        limit = self.rate.burst * MILLI_PER_CALL // self.config.report_burst_divisor
+        return self.loans.unreported_milli >= max(limit, MILLI_PER_CALL)
+
     def target_milli(self, now_ms: int) -> int:
         """Return the milli-calls that should be held ahead of need."""
         arrival_ms = self.demand.last_arrival_ms
         if arrival_ms is None or now_ms - arrival_ms > self.config.idle_return_ms:
             return 0
         ahead = self.demand.milli_per_s * self.config.reserve_ms // MS_PER_S
-        limit = self.rate.burst * MILLI_PER_CALL // self.config.reserve_burst_divisor
-        return min(ahead + MILLI_PER_CALL, limit)
+        fair = self.demand.milli_per_s * self.rate.burst // self.rate.rate
+        fair //= self.config.reserve_burst_divisor
+        target = min(ahead + MILLI_PER_CALL, fair)
+        return target - target % MILLI_PER_CALL
 
     def surplus_milli(self, now_ms: int) -> int:
         """Return the milli-calls that are better given back."""
@@ -131,18 +159,20 @@
             return 0
         target = self.target_milli(now_ms)
         if self.loans.total_milli < MILLI_PER_CALL or not target:
-            return self.loans.total_milli if not self.lenders.asked_milli() else 0
+            return self.loans.total_milli if not self.lenders.asked_milli else 0
         return max(0, self.loans.total_milli - 2 * target)
 
     def _may_borrow(self, now_ms: int) -> bool:
         """Return whether the calls waiting and one more can hope for tokens."""
-        hoped = self.lenders.availability_milli(now_ms) + self.lenders.asked_milli()
+        if not self.lenders.asked_milli and self.next_ask_ms > now_ms + self.config.wait_limit_ms:
+            return False
+        hoped = self.lenders.availability_milli(now_ms) + self.lenders.asked_milli
         hoped += self.loans.total_milli
         return hoped >= (len(self.waiting) + 1) * MILLI_PER_CALL
 
     def _worth_waiting(self, now_ms: int) -> bool:
         """Return whether the oldest waiting call can hope for tokens."""
-        if self.lenders.asked_milli():
+        if self.lenders.asked_milli:
             return True
         hoped = self.loans.total_milli + self.lenders.availability_milli(now_ms)
         return hoped >= MILLI_PER_CALL
--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -62,6 +62,7 @@
     _account_of: dict[int, str] = attrs.field(factory=dict, init=False)
     _asked: dict[int, _Asked] = attrs.field(factory=dict, init=False)
     _next_id: int = attrs.field(default=1, init=False)
+    _next_round_ms: int = attrs.field(default=0, init=False)
 
     def configure(
         self,
@@ -102,7 +103,7 @@
                 vm_id = by_key.get(key)
                 if vm_id != lender.vm_id:
                     lender.vm_id = vm_id
-                    lender.silent_until_ms = None
+                    lender.note_reply()
 
     def admit(self, now_ms: int, account: str) -> Admitted | Pending | Refusal:
         """Decide one call at its entry.
@@ -156,13 +157,15 @@
             if account is None or grant.slice_key not in asked.items:
                 continue
             touched[account.rate.account] = account
-            lender = account.lenders.by_key[grant.slice_key]
-            if not asked.timed_out:
-                lender.asked_milli -= asked.items[grant.slice_key]
-            lender.silent_until_ms = None
+            pending_milli = 0 if asked.timed_out else asked.items[grant.slice_key]
+            lender = account.lenders.end_asking(grant.slice_key, pending_milli)
+            lender.note_reply()
             if not grant.held:
-                lender.silent_until_ms = now_ms + self.config.silence_retry_ms
-            lender.note_level(now_ms, grant.left_milli)
+                lender.note_silence(now_ms, self.config)
+            account.round_granted_milli += grant.granted_milli
+            lender.note_grant(
+                now_ms, asked.items[grant.slice_key], grant.granted_milli, grant.left_milli
+            )
             if grant.granted_milli > 0 and now_ms < expires_ms:
                 loan = HeldLoan(
                     grant.slice_key, reply.request_id, vm_id, grant.granted_milli, expires_ms
@@ -180,12 +183,16 @@
     def tick(self, now_ms: int) -> Step:
         """Borrow, report, return and time out; call every 20 ms and after each `Pending`."""
         self._expire_asked(now_ms)
-        decided = self._serve(now_ms, self._accounts.values())
+        round_due = now_ms >= self._next_round_ms
+        if round_due:
+            self._next_round_ms = now_ms + self.config.round_ms
+        active = [account for account in self._accounts.values() if account.active(now_ms)]
+        decided = self._serve(now_ms, active)
         items: dict[VmId, list[BorrowItem]] = {}
         reports: dict[VmId, list[LoanReport]] = {}
-        for account in self._accounts.values():
-            self._plan(now_ms, account, items)
-        for account in self._accounts.values():
+        for account in active:
+            self._plan(now_ms, account, round_due, items)
+        for account in active:
             self._collect_reports(now_ms, account, items, reports)
         sends = [
             self._send(now_ms, vm_id, items.get(vm_id, []), reports.get(vm_id, []))
@@ -206,7 +213,7 @@
         return BorrowingAccount(
             rate,
             self.config,
-            Lenders(self.config, self.domain),
+            Lenders(self.config, self.vm_id, self.domain),
             Demand(self.config, now_ms),
             Demand(self.config, now_ms),
             ask_interval_ms=self.config.ask_interval_ms,
@@ -223,19 +230,25 @@
         return tuple(decided)
 
     def _plan(
-        self, now_ms: int, account: BorrowingAccount, items: dict[VmId, list[BorrowItem]]
+        self,
+        now_ms: int,
+        account: BorrowingAccount,
+        round_due: bool,
+        items: dict[VmId, list[BorrowItem]],
     ) -> None:
         account.demand.update(now_ms)
         account.admitted.update(now_ms)
         if now_ms < account.next_ask_ms:
             return
         wish = account.wish(now_ms)
-        if not wish.needed_milli and not wish.reserve_milli:
+        if not wish.needed_milli and not (round_due and wish.reserve_milli):
             return
-        chosen = account.lenders.choose(now_ms, wish.needed_milli, wish.reserve_milli)
+        preferred = items.keys() | account.loans.owners_to_report()
+        asked_before = account.lenders.asked_milli
+        chosen = account.lenders.choose(now_ms, wish.needed_milli, wish.reserve_milli, preferred)
         if not chosen:
             return
-        account.next_ask_ms = now_ms + account.ask_interval_ms
+        account.note_asked(now_ms, account.lenders.asked_milli - asked_before)
         for vm_id, wanted in chosen.items():
             items.setdefault(vm_id, []).extend(wanted)
 
@@ -246,7 +259,7 @@
         items: dict[VmId, list[BorrowItem]],
         reports: dict[VmId, list[LoanReport]],
     ) -> None:
-        due = now_ms >= account.next_report_ms
+        due = account.report_due(now_ms)
         if due:
             surplus = account.surplus_milli(now_ms)
             if surplus:
@@ -290,10 +303,9 @@
             account = self._find(slice_key)
             if account is None:
                 continue
-            lender = account.lenders.by_key[slice_key]
-            lender.asked_milli -= amount
+            lender = account.lenders.end_asking(slice_key, amount)
             if lender.vm_id == asked.vm_id:
-                lender.silent_until_ms = now_ms + self.config.silence_retry_ms
+                lender.note_silence(now_ms, self.config)
 
 
 def _refuse_unknown(account: str) -> Refusal:
--- a/libs/limits/src/wisteria_limits/config.py
+++ b/libs/limits/src/wisteria_limits/config.py
@@ -27,12 +27,17 @@
         Longest wait of a call for a loan under way.
     reply_timeout_ms : int
         An owner that has not replied for so long is taken as silent.
+    round_ms : int
+        Pause between two rounds of requests that are ahead of need, for all accounts together.
     report_interval_ms : int
         Longest delay of a report on spent tokens.
+    report_burst_divisor : int
+        Spent tokens beyond the account's burst divided by this are reported at once.
     ask_interval_ms, ask_interval_max_ms : int
-        Shortest and longest pause between two rounds of requests for one account.
-    silence_retry_ms : int
-        Pause before a silent owner is asked again.
+        Shortest and longest pause between requests for waiting calls of one account; it
+        doubles while the owners grant little.
+    silence_retry_ms, silence_retry_max_ms : int
+        First and longest pause before a silent owner is asked again.
     demand_rise_ms, demand_fall_ms : int
         Time constants of the demand estimate.
     idle_return_ms : int
@@ -47,10 +52,13 @@
     reserve_burst_divisor: int = const.DEFAULT_RESERVE_BURST_DIVISOR
     wait_limit_ms: int = const.DEFAULT_WAIT_LIMIT_MS
     reply_timeout_ms: int = const.DEFAULT_REPLY_TIMEOUT_MS
+    round_ms: int = const.DEFAULT_ROUND_MS
     report_interval_ms: int = const.DEFAULT_REPORT_INTERVAL_MS
+    report_burst_divisor: int = const.DEFAULT_REPORT_BURST_DIVISOR
     ask_interval_ms: int = const.DEFAULT_ASK_INTERVAL_MS
     ask_interval_max_ms: int = const.DEFAULT_ASK_INTERVAL_MAX_MS
     silence_retry_ms: int = const.DEFAULT_SILENCE_RETRY_MS
+    silence_retry_max_ms: int = const.DEFAULT_SILENCE_RETRY_MAX_MS
     demand_rise_ms: int = const.DEFAULT_DEMAND_RISE_MS
     demand_fall_ms: int = const.DEFAULT_DEMAND_FALL_MS
     idle_return_ms: int = const.DEFAULT_IDLE_RETURN_MS
--- a/libs/limits/src/wisteria_limits/demand.py
+++ b/libs/limits/src/wisteria_limits/demand.py
@@ -3,12 +3,12 @@
 import attrs
 
 from .config import LimitsConfig
-from .const import MS_PER_S
+from .const import DEMAND_UPDATE_MS, MS_PER_S, SEEN_AT_ONCE_MILLI
 
 
 @attrs.define
 class Demand:
-    """Smoothed arrival rate: rises fast, falls slowly.
+    """Smoothed arrival rate: rises fast with several calls at once, else slowly.
 
     Parameters
     ----------
@@ -34,10 +34,12 @@
     def update(self, now_ms: int) -> int:
         """Fold the arrivals since the last update in and return milli-calls per second."""
         elapsed_ms = now_ms - self.updated_ms
+        if elapsed_ms < DEMAND_UPDATE_MS and self._arrived_milli < SEEN_AT_ONCE_MILLI:
+            return self.milli_per_s
         if elapsed_ms <= 0:
             return self.milli_per_s
         seen = self._arrived_milli * MS_PER_S // elapsed_ms
-        rising = seen > self.milli_per_s
+        rising = seen > self.milli_per_s and self._arrived_milli >= SEEN_AT_ONCE_MILLI
         constant_ms = self.config.demand_rise_ms if rising else self.config.demand_fall_ms
         change = (seen - self.milli_per_s) * elapsed_ms // (constant_ms + elapsed_ms)
         self.milli_per_s = max(0, self.milli_per_s + change)
--- a/libs/limits/src/wisteria_limits/loans.py
+++ b/libs/limits/src/wisteria_limits/loans.py
@@ -38,11 +38,16 @@
 
 @attrs.define
 class HeldLoans:
-    """Every loan of one account, spent in order of expiry."""
+    """Every loan of one account, spent oldest first."""
 
     total_milli: int = 0
+    unreported_milli: int = 0
     _loans: dict[tuple[int, int], HeldLoan] = attrs.field(factory=dict)
 
+    def held(self) -> bool:
+        """Return whether any loan still runs or has a report due."""
+        return bool(self._loans)
+
     def add(self, loan: HeldLoan) -> None:
         """Take in a loan."""
         self._loans[(loan.slice_key, loan.loan_id)] = loan
@@ -61,7 +66,7 @@
                 continue
             loan.remaining_milli -= part
             loan.spent_milli += part
-            loan.unreported_milli += part
+            self._owe_report(loan, part)
             draws.append(Draw(loan.slice_key, loan.loan_id, loan.report_count, part))
             missing -= part
             if not missing:
@@ -79,7 +84,7 @@
                 continue
             loan.remaining_milli += draw.amount_milli
             loan.spent_milli -= draw.amount_milli
-            loan.unreported_milli -= draw.amount_milli
+            self._owe_report(loan, -draw.amount_milli)
             restored += draw.amount_milli
         self.total_milli += restored
         return restored
@@ -91,7 +96,7 @@
             part = min(loan.remaining_milli, amount_milli)
             loan.remaining_milli -= part
             loan.returned_milli += part
-            loan.unreported_milli += part
+            self._owe_report(loan, part)
             amount_milli -= part
             self.total_milli -= part
 
@@ -99,7 +104,9 @@
         """Drop the loans whose time has passed, with whatever is left of them."""
         ended = [key for key, loan in self._loans.items() if loan.expires_ms <= now_ms]
         for key in ended:
-            self.total_milli -= self._loans.pop(key).remaining_milli
+            loan = self._loans.pop(key)
+            self.total_milli -= loan.remaining_milli
+            self.unreported_milli -= loan.unreported_milli
 
     def owners_to_report(self) -> set[VmId]:
         """Return the owners that have a report due."""
@@ -115,7 +122,7 @@
             reports.append(
                 LoanReport(loan.slice_key, loan.loan_id, loan.spent_milli, loan.returned_milli)
             )
-            loan.unreported_milli = 0
+            self._owe_report(loan, -loan.unreported_milli)
             loan.report_count += 1
             if not loan.remaining_milli:
                 del self._loans[(loan.slice_key, loan.loan_id)]
@@ -125,3 +132,8 @@
         """Drop every loan, as after a pause of the process."""
         self._loans.clear()
         self.total_milli = 0
+        self.unreported_milli = 0
+
+    def _owe_report(self, loan: HeldLoan, amount_milli: int) -> None:
+        loan.unreported_milli += amount_milli
+        self.unreported_milli += amount_milli
