Follow a service that numbers its revisions anew

Cause: revisions were merged by the highest, so one service restart with lower numbers (or one wrong number from a peer) left every watch waiting for a revision that never comes. After: the number of the later confirmation holds, and an answer with what is in force sets it, down as well; full reads, which find the new numbering, are jittered between readers. Test: failed before the change (the watch named revision 40 after an answer under revision 1).

--- a/libs/config/src/wisteria_config/dissemination/config.py
+++ b/libs/config/src/wisteria_config/dissemination/config.py
@@ -18,8 +18,8 @@
     watch_ms : int
         Longest time that a watch waits for a change.
     full_read_interval_ms : int
-        Time after which a reader reads without a revision, in case the service has numbered
-        its revisions anew.
+        Longest time until a reader reads without a revision, in case the service has numbered
+        its revisions anew; jittered from half of it.
     read_timeout_ms : int
         Time over that of the watch after which a read counts as lost.
     read_min_interval_ms, read_backoff_max_ms : int
--- a/libs/config/src/wisteria_config/dissemination/machine.py
+++ b/libs/config/src/wisteria_config/dissemination/machine.py
@@ -233,9 +233,13 @@
             self._send(source, self._announcement(now_ms))
 
     def _confirm_by_peer(self, message: VersionAnnounce, now_ms: int) -> None:
-        self.reads.revision = max(self.reads.revision, message.revision)
-        if message.confirmed_age_ms != NEVER_CONFIRMED:
-            self._confirm(now_ms - message.confirmed_age_ms)
+        """Take over what a peer that heard the service later knows of it."""
+        if message.confirmed_age_ms < 0:
+            return
+        at_ms = now_ms - message.confirmed_age_ms
+        if self.confirmed_ms is None or at_ms > self.confirmed_ms:
+            self.reads.revision = message.revision
+            self._confirm(at_ms)
 
     def _confirm(self, at_ms: int) -> None:
         if self.confirmed_ms is None or at_ms > self.confirmed_ms:
@@ -294,7 +298,7 @@
                 return
             self._seen_raw[key] = stamp
         if stamp is None or self._judge_published(stamp, outcome.revision):
-            self._deal_with(outcome.revision, now_ms)
+            self._deal_with(stamp, outcome.revision, now_ms)
 
     def _examine(self, outcome: ServiceDocument, now_ms: int) -> VersionStamp | None:
         """Validate a document that was not seen before, and put it in force when newer.
@@ -307,7 +311,8 @@
             return None
         stamp = VersionStamp(document.version, document_digest(document))
         if self._is_newer(stamp) and stamp.version >= self._required_version():
-            self._deal_with(outcome.revision, now_ms)
+            self.reads.revision = outcome.revision
+            self._confirm(now_ms)
             self._accept(document, stamp, _FROM_SERVICE, now_ms)
             self._request(self.fetcher.refresh(self._held(), now_ms))
         return stamp
@@ -328,8 +333,10 @@
                 self._audit(stamp.version, AuditOutcome.REFUSED_LOWER, _FROM_SERVICE, reason)
         return True
 
-    def _deal_with(self, revision: int, now_ms: int) -> None:
-        self.reads.revision = max(self.reads.revision, revision)
+    def _deal_with(self, stamp: VersionStamp | None, revision: int, now_ms: int) -> None:
+        """Note the revision, a lower one as well when it holds what is in force here."""
+        if stamp == self.stamp or revision > self.reads.revision:
+            self.reads.revision = revision
         self._confirm(now_ms)
 
     # Verdicts
--- a/libs/config/src/wisteria_config/dissemination/reads.py
+++ b/libs/config/src/wisteria_config/dissemination/reads.py
@@ -77,7 +77,8 @@
         full = self.is_reader and now_ms >= self.next_full_ms
         if self.revision and not full:
             return self.revision
-        self.next_full_ms = now_ms + self.config.full_read_interval_ms
+        interval_ms = self.config.full_read_interval_ms // 2
+        self.next_full_ms = now_ms + interval_ms + self._jitter(interval_ms)
         return None
 
     def finish(self, read_id: int, now_ms: int, failed: bool) -> bool:
--- a/tests/config/test_dissemination.py
+++ b/tests/config/test_dissemination.py
@@ -24,6 +24,7 @@
     SendTo,
     ServiceDocument,
     ServiceFailed,
+    ServiceUnchanged,
     VersionAnnounce,
     VersionQuery,
     describe,
@@ -163,6 +164,18 @@
     assert only(machine.tick(600), ReadService).revision == 9
 
 
+def test_revisions_that_the_service_numbers_anew_are_followed() -> None:
+    machine = start(version=3)
+    read = only(machine.tick(205), ReadService)
+    machine.handle_service(ServiceDocument(read.read_id, 40, encode(plain_document(4))), 300)
+    read = only(machine.tick(900), ReadService)
+    assert read.revision == 40
+    read = only(machine.handle_service(ServiceUnchanged(read.read_id), 700_000), ReadService)
+    assert read.revision is None
+    machine.handle_service(ServiceDocument(read.read_id, 1, encode(plain_document(4))), 700_010)
+    assert only(machine.tick(701_000), ReadService).revision == 1
+
+
 def test_read_of_before_a_pause_counts_for_nothing() -> None:
     machine = start(version=3)
     read = only(machine.tick(205), ReadService)
