--- a/libs/config/src/wisteria_config/dissemination/config.py
+++ b/libs/config/src/wisteria_config/dissemination/config.py
@@ -11,6 +11,8 @@
     ----------
     readers_per_domain : int
         VMs of a failure domain that hold a watch on the configuration service.
+    versions_per_term : int
+        Versions after which other VMs become readers.
     rings : int
         Rings of the overlay; each VM has two neighbours on each.
     announce_interval_ms : int
@@ -44,6 +46,7 @@
     """
 
     readers_per_domain: int = 2
+    versions_per_term: int = 16
     rings: int = 3
     announce_interval_ms: int = 1_000
     watch_ms: int = 10_000
--- a/libs/config/src/wisteria_config/dissemination/machine.py
+++ b/libs/config/src/wisteria_config/dissemination/machine.py
@@ -119,7 +119,6 @@
     ) -> list[Action]:
         """Take a list of the platform, and the VMs that are known to be of no use now."""
         self.fleet.take_list(vms, avoided)
-        self.reads.is_reader = self.fleet.is_reader
         self.fetcher.keep_offers_of(self.fleet.domains)
         return self._step(now_ms)
 
@@ -158,6 +157,7 @@
         self._become_ready(now_ms)
         self._request(self.fetcher.check_progress(self._held(), now_ms))
         self._announce_in_turn(now_ms)
+        self.reads.is_reader = self.fleet.is_reader(self.version)
         read = self.reads.take_due(now_ms)
         if read is not None:
             self._actions.append(read)
--- a/libs/config/src/wisteria_config/dissemination/overlay.py
+++ b/libs/config/src/wisteria_config/dissemination/overlay.py
@@ -27,10 +27,9 @@
     return [vm for vm in vms if vm.state is VmState.LIVE and vm.vm_id not in avoided]
 
 
-def pick_readers(vms: Iterable[Vm], domain: FailureDomain, count: int) -> list[str]:
-    """Return the VMs of a failure domain that watch the configuration service."""
-    names = [vm.vm_id for vm in vms if vm.failure_domain == domain]
-    return rank_by_rendezvous(_READER_KEY, names)[:count]
+def pick_readers(names: Iterable[str], term: int, count: int) -> list[str]:
+    """Return which VMs of a failure domain watch the configuration service in a term."""
+    return rank_by_rendezvous(f"{_READER_KEY}-{term}", names)[:count]
 
 
 def find_neighbours(vm_id: VmId, vms: Iterable[Vm], rings: int) -> list[VmId]:
@@ -95,8 +94,6 @@
         Failure domain of each other VM of the list.
     neighbours : list of VmId
         VMs that news is passed to.
-    is_reader : bool
-        Whether the own VM watches the configuration service.
     """
 
     vm_id: VmId
@@ -105,7 +102,9 @@
     vms: VmList | None = None
     domains: dict[VmId, FailureDomain] = attrs.field(factory=dict)
     neighbours: list[VmId] = attrs.field(factory=list)
-    is_reader: bool = False
+    _readers: list[str] = attrs.field(factory=list)
+    _term: int = -1
+    _near: list[VmId] = attrs.field(factory=list)
     _turn: int = 0
 
     def take_list(self, vms: VmList, avoided: Collection[VmId]) -> None:
@@ -113,10 +112,22 @@
         self.vms = vms
         self.domains = {vm.vm_id: vm.failure_domain for vm in vms if vm.vm_id != self.vm_id}
         useful = live_vms(vms, avoided)
-        count = self.config.readers_per_domain
-        self.is_reader = self.vm_id in pick_readers(useful, self.failure_domain, count)
+        self._near = [vm.vm_id for vm in useful if vm.failure_domain == self.failure_domain]
+        self._term = -1
         self.neighbours = find_neighbours(self.vm_id, useful, self.config.rings)
 
+    def is_reader(self, version: int) -> bool:
+        """Return whether the own VM watches the configuration service.
+
+        The term is a part of the range of versions, so that the load of reading whole
+        documents goes round without any clock in common.
+        """
+        term = version // self.config.versions_per_term
+        if term != self._term:
+            self._term = term
+            self._readers = pick_readers(self._near, term, self.config.readers_per_domain)
+        return self.vm_id in self._readers
+
     def is_near(self, vm_id: VmId) -> bool:
         """Return whether a VM stands in the own failure domain."""
         return self.domains.get(vm_id) == self.failure_domain
--- a/tests/config/count_dissemination.py
+++ b/tests/config/count_dissemination.py
@@ -21,6 +21,7 @@
 SPREAD_LIMIT_MS = 30_000
 OUTAGE_MS = 120_000
 LATENCY_MS = (1, 75)
+PROCESSING_MS = 30
 MS_PER_S = 1_000
 
 
@@ -79,6 +80,7 @@
     """Count one fleet: steady state, one change, one restart, an outage of the service."""
     fleet = Fleet(FAILURE_DOMAINS, -(-nodes // FAILURE_DOMAINS))
     fleet.latency_ms = LATENCY_MS
+    fleet.processing_ms = PROCESSING_MS
     size = len(fleet.nodes)
     fleet.publish(small_document(1) if small else large_document(1))
     fleet.start_all()
--- a/tests/config/fleet.py
+++ b/tests/config/fleet.py
@@ -132,6 +132,7 @@
         self.now_ms = 1_000
         self.service = Service()
         self.latency_ms = (1, 3)
+        self.processing_ms = 0
         self.loss = 0.0
         self.doubling = 0.0
         self.cut: set[frozenset[VmId]] = set()
@@ -218,11 +219,12 @@
 
     def _do(self, node: Node, actions: list[Action]) -> None:
         vm_id = node.vm.vm_id
+        busy_ms = self.processing_ms if any(isinstance(a, InForce) for a in actions) else 0
         for action in actions:
             self.on_action(vm_id, action)
             match action:
                 case SendTo():
-                    self._send(node, action)
+                    self._send(node, action, busy_ms)
                 case ReadService():
                     self._read(node, action)
                 case InForce():
@@ -231,7 +233,7 @@
                     node.audit.append(action)
         node.check_ready(set(self.nodes), len(self.nodes) == 1)
 
-    def _send(self, node: Node, action: SendTo) -> None:
+    def _send(self, node: Node, action: SendTo, busy_ms: int) -> None:
         message, source, target = action.message, node.vm.vm_id, action.vm_id
         kind = type(message).__name__
         self.sent[kind] += 1
@@ -241,7 +243,7 @@
         copies = 1 + (self.rng.random() < self.doubling)
         for _ in range(copies):
             if self.rng.random() >= self.loss and frozenset({source, target}) not in self.cut:
-                delay_ms = self.rng.randint(*self.latency_ms)
+                delay_ms = busy_ms + self.rng.randint(*self.latency_ms)
                 self.at(delay_ms, lambda: self._deliver(source, target, message))
 
     def _deliver(self, source: VmId, target: VmId, message: Message) -> None:
--- a/tests/config/test_dissemination.py
+++ b/tests/config/test_dissemination.py
@@ -228,7 +228,9 @@
 
 def test_whole_session(snapshot: SnapshotAssertion) -> None:
     """Start, change, withdrawal, invalid, former and racing documents, pause, restart."""
-    fleet = Fleet(2, 3, seed=7, config=DisseminationConfig(readers_per_domain=1))
+    fleet = Fleet(
+        2, 3, seed=7, config=DisseminationConfig(readers_per_domain=1, versions_per_term=3)
+    )
     lines: list[str] = []
     fleet.on_action = lambda vm_id, action: lines.extend(transcribe(fleet.now_ms, vm_id, action))
 
