--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -29,7 +29,7 @@
     floor: int = 4
     initial: int = 8
     window_ms: int = 100
-    min_samples: int = 20
+    min_samples: int = 10
     tolerance: float = 1.35
     backoff: float = 0.9
     min_backoff: float = 0.5
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -197,7 +197,8 @@
             return False
         if lane is self._long:
             return len(lane.running) < self.long_slots()
-        return len(lane.running) < self.limiter.limit() + spare
+        limit = self.limiter.limit()
+        return len(lane.running) < limit + min(spare, (limit + 1) // 2)
 
     def _start_or_refuse(self, now_ms: int, lane: _Lane, ticket: Ticket) -> Dispatch | Refusal:
         run_ms = self._run_ms(now_ms, ticket)
--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -11,7 +11,7 @@
 BASELINE_WINDOWS = 3
 """Windows after the start that the baseline averages: the first holds short calls only."""
 
-FAR_SHORTER = 0.75
+FAR_SHORTER = 0.6
 """Part of the baseline below which a latency is a change and no scatter."""
 
 BASELINE_FALL = 0.1
@@ -29,6 +29,9 @@
 DESCENT_STEP = 0.6
 """Highest factor of one step of a descent."""
 
+STEP_PART = 0.8
+"""Part of the calls at once, from step to step, below which two steps can be compared."""
+
 STEP_SAMPLES = 20
 """Calls that a step of a descent waits for."""
 
@@ -98,21 +101,26 @@
 class _Step:
     """One step of a descent: the calls that started and ended under one limit."""
 
-    limit: float
     started_ms: int
     ended: int = 0
     latency_sum_ms: int = 0
+    running_sum: int = 0
 
-    def note(self, now_ms: int, latency_ms: int) -> None:
+    def note(self, now_ms: int, latency_ms: int, running: int) -> None:
         """Count a call that ended, unless it started under another limit."""
         if now_ms - latency_ms >= self.started_ms:
             self.ended += 1
             self.latency_sum_ms += latency_ms
+            self.running_sum += running
 
     def mean_ms(self) -> float:
         """Return the mean latency of the calls counted."""
         return self.latency_sum_ms / max(1, self.ended)
 
+    def mean_running(self) -> float:
+        """Return how many calls ran at once, urgent ones beyond the limit included."""
+        return self.running_sum / max(1, self.ended)
+
     def is_over(self, now_ms: int) -> bool:
         """Return whether the mean can be trusted, or has taken too long to come."""
         elapsed_ms = now_ms - self.started_ms
@@ -125,21 +133,21 @@
 class _Descent:
     """Steps down from a limit under which calls were far too long.
 
-    They tell congestion, where a lower limit shortens the calls in proportion, from a server
-    whose calls have become longer, where it does not.
+    They tell congestion, where fewer calls at once are shorter in proportion, from a server
+    whose calls have become longer, where they are not.
     """
 
     start: float
     step: _Step
-    previous: _Step | None = None
+    first: _Step | None = None
 
     def is_flat(self) -> bool:
-        """Return whether the last step left the calls as long as they were."""
-        previous, step = self.previous, self.step
-        if previous is None or not previous.ended or not step.ended:
+        """Return whether clearly fewer calls at once were as long as those of the first step."""
+        first, step = self.first, self.step
+        if first is None or not first.ended or not step.ended:
             return False
-        midway = (1.0 + step.limit / previous.limit) / 2.0
-        return step.mean_ms() > midway * previous.mean_ms()
+        part = step.mean_running() / first.mean_running()
+        return part <= STEP_PART and step.mean_ms() > (1.0 + part) / 2.0 * first.mean_ms()
 
 
 @attrs.define
@@ -182,7 +190,7 @@
         """Take in one ended call and adjust the limit when a window is full."""
         if self._descent is not None:
             if outcome in (Outcome.SUCCESS, Outcome.TIMEOUT):
-                self._descent.step.note(now_ms, latency_ms)
+                self._descent.step.note(now_ms, latency_ms, running)
             self._advance_descent(now_ms, self._descent)
             return
         window = self._window
@@ -229,7 +237,7 @@
             self._cut_from = self._cut_from or before
             far = latency_ms > FAR_TOO_LONG * self.config.tolerance * self._baseline_ms
             if far or at_floor or self._limit <= DESCENT_DEPTH * self._cut_from:
-                self._descent = _Descent(self._cut_from, _Step(self._limit, now_ms))
+                self._descent = _Descent(self._cut_from, _Step(now_ms))
 
     def _advance_descent(self, now_ms: int, descent: _Descent) -> None:
         """Judge the present step once it is over; go one down, or end the descent."""
@@ -244,10 +252,10 @@
         elif self._limit > self._floor():
             self._limit *= self._cut_factor(step.mean_ms(), DESCENT_STEP)
             self._clamp()
-            descent.previous, descent.step = step, _Step(self._limit, now_ms)
+            descent.first, descent.step = descent.first or step, _Step(now_ms)
             return
         elif step.ended:
-            # there is no congestion left at the floor: calls take as long as this
+            # the floor is the least that calls can be given room: they take as long as this
             self._baseline_ms = step.mean_ms()
         self._descent = None
         self._cut_from = None
