--- /dev/null
+++ b/tests/admission/test_limiters.py
@@ -0,0 +1,79 @@
+"""Concurrency limits: bounds for any input, and the bars of the simulated overload."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given, settings
+from script.tools.bench_admission import measure
+from script.tools.bench_admission_simulation import Order, Scenario, Slowdown
+
+from wisteria_admission import AimdLimiter, GradientLimiter, LimiterConfig, Outcome
+
+SAMPLES = st.lists(
+    st.tuples(
+        st.integers(0, 300), st.integers(0, 2_000), st.integers(1, 60), st.sampled_from(Outcome)
+    ),
+    max_size=400,
+)
+
+
+@pytest.mark.parametrize("kind", [AimdLimiter, GradientLimiter])
+@given(samples=SAMPLES, ceiling=st.integers(1, 60))
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_the_limit_stays_between_floor_and_slots(
+    kind: type[AimdLimiter], samples: list[tuple[int, int, int, Outcome]], ceiling: int
+) -> None:
+    limiter = kind(LimiterConfig(), ceiling)
+    now_ms = 0
+    for elapsed_ms, latency_ms, running, outcome in samples:
+        now_ms += elapsed_ms
+        limiter.note(now_ms, latency_ms, running, outcome)
+        assert min(LimiterConfig().floor, ceiling) <= limiter.limit() <= ceiling
+
+
+def feed(limiter: AimdLimiter, start_ms: int, length_ms: int, capacity: int, work_ms: int) -> None:
+    """End calls as a server with room for `capacity` calls of `work_ms` at once would."""
+    now_ms = start_ms
+    while now_ms < start_ms + length_ms:
+        running = limiter.limit()
+        latency_ms = work_ms * max(capacity, running) // capacity
+        for _ in range(running):
+            limiter.note(now_ms, latency_ms, running, Outcome.SUCCESS)
+        now_ms += latency_ms
+
+
+def test_a_cold_start_finds_the_capacity() -> None:
+    limiter = AimdLimiter(LimiterConfig(), 100)
+    feed(limiter, 0, 3_000, capacity=30, work_ms=20)
+    assert 24 <= limiter.limit() <= 60
+
+
+def test_congestion_lowers_the_limit_and_its_end_raises_it() -> None:
+    limiter = AimdLimiter(LimiterConfig(), 100)
+    feed(limiter, 0, 3_000, capacity=30, work_ms=20)
+    feed(limiter, 3_000, 4_000, capacity=10, work_ms=20)
+    assert limiter.limit() <= 20
+    feed(limiter, 7_000, 3_000, capacity=30, work_ms=20)
+    assert limiter.limit() >= 24
+
+
+def test_longer_calls_do_not_lower_the_limit_for_good() -> None:
+    limiter = AimdLimiter(LimiterConfig(), 100)
+    feed(limiter, 0, 3_000, capacity=30, work_ms=20)
+    feed(limiter, 3_000, 4_000, capacity=30, work_ms=60)
+    assert limiter.limit() >= 24
+
+
+def test_timeouts_lower_the_limit() -> None:
+    limiter = AimdLimiter(LimiterConfig(initial=40), 40)
+    for now_ms in range(0, 2_000, 10):
+        limiter.note(now_ms, 500, 40, Outcome.TIMEOUT)
+    assert limiter.limit() < 20
+
+
+@pytest.mark.parametrize("slowdown", Slowdown)
+def test_goodput_urgent_success_and_recovery_at_four_times_the_load(slowdown: Slowdown) -> None:
+    one, four = (measure(Scenario("aimd", Order.FAIR, load, slowdown, 1)) for load in (1, 4))
+    assert four.goodput_per_s >= 0.9 * one.goodput_per_s
+    assert four.urgent_success >= 0.99
+    assert four.recovery_s is not None
+    assert four.recovery_s <= 2.0
