--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -17,6 +17,9 @@
 BASELINE_FALL = 0.1
 """Share of the gap to a lower latency that the baseline closes in each window."""
 
+USED_PART = 0.8
+"""Part of the limit that must have been reached for it to grow."""
+
 STEADY_GROWTHS = 3
 """Increases in a row that add one; later ones double."""
 
@@ -212,7 +215,7 @@
 
     def _is_used(self, window: _Window) -> bool:
         """Return whether the limit was reached, so that a higher one can be of use."""
-        return 2 * window.peak_running >= self._limit
+        return window.peak_running >= USED_PART * self._limit
 
     def _track_baseline(self, mean_ms: float) -> None:
         """Follow a far lower latency at once, a lower one soon and a higher one slowly."""
