--- /dev/null
+++ b/libs/ledger/src/wisteria_ledger/diagnostics.py
@@ -0,0 +1,16 @@
+"""Plain data about the ledger for the operators' port."""
+
+from .ledger import Ledger
+
+
+def describe(ledger: Ledger) -> dict[str, int]:
+    """Return slots held, runs remembered and bytes used, with their bounds."""
+    entries, used_bytes = ledger.usage()
+    return {
+        "slots": len(tuple(ledger.held())),
+        "entries": entries,
+        "max_entries": ledger.config.max_entries,
+        "bytes": used_bytes,
+        "max_bytes": ledger.config.max_bytes,
+        "retention_ms": ledger.config.retention_ms,
+    }
