--- /dev/null
+++ b/script/tools/control_fleet.py
@@ -0,0 +1,277 @@
+"""Fleets of idle daemons whose control work is measured from outside."""
+
+import asyncio
+import os
+import random
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+from script.tools.documents import AccountPlan, RoutePlan, make_document
+
+from wisteria_standins.behaviour import Behaviour
+from wisteria_standins.client import Call
+from wisteria_standins.fleet import Fleet
+from wisteria_standins.fleet_spec import FleetSpec, ServiceSpec
+
+VMS_PER_SERVICE = 6
+SLICES_PER_DOMAIN = 8
+LEDGER_SLOTS_PER_SERVICE = 16
+FRAME_HEADER_BYTES = 14
+TLS_RECORD_BYTES = 22
+SETTLE_LIMIT_S = 25.0
+SETTLE_POLL_S = 0.25
+REST_S = 1.0
+MAX_STATUS_BYTES = 8_000_000
+STATUS_TIMEOUT_MS = 10_000
+KB_PER_MB = 1_024
+PERCENT = 100
+US_PER_S = 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Shape:
+    """What a fleet consists of, and how often its configuration changes."""
+
+    vms: int
+    domains: int
+    accounts: int
+    changes_per_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Measured:
+    """Means over the daemons of one fleet during one window.
+
+    Parameters
+    ----------
+    cpu_percent, cpu_percent_worst : float
+        Of one core; mean and highest of the daemons.
+    bytes_per_s : float
+        Bytes sent on links, with frame headers and TLS records, without TCP and IP headers.
+    messages_per_s : float
+        Control messages sent.
+    memory_mb, memory_mb_worst : float
+        Resident memory.
+    links : float
+        Open links.
+    start_bytes : float
+        Control bytes sent from the start until every slot had an owner.
+    settle_s : float
+        Time from the first ready answer of all until every slot had an owner.
+    platform_reads_per_s : float
+        Of all daemons together, watches among them.
+    """
+
+    shape: Shape
+    cpu_percent: float
+    cpu_percent_worst: float
+    bytes_per_s: float
+    messages_per_s: float
+    memory_mb: float
+    memory_mb_worst: float
+    links: float
+    start_bytes: float
+    settle_s: float
+    platform_reads_per_s: float
+
+
+@attrs.frozen
+class _Reading:
+    """Counters of one daemon at one moment."""
+
+    at_s: float
+    cpu_s: float
+    memory_mb: float
+    link_bytes: int
+    control_bytes: int
+    links: int
+    slots: int
+
+
+def make_plans(accounts: int, burst: int = 1_000) -> tuple[AccountPlan, ...]:
+    """Return the plans of the client accounts."""
+    return tuple(
+        AccountPlan(f"account-{number:03d}", f"control-key-{number}", burst=burst)
+        for number in range(accounts)
+    )
+
+
+def make_control_document(shape: Shape, version: int, burst: int = 1_000) -> bytes:
+    """Return the document of a fleet."""
+    routes = tuple(
+        RoutePlan(f"route-{name}", name, f"/{name}") for name in list_services(shape.vms)
+    )
+    return make_document(version, make_plans(shape.accounts, burst), routes)
+
+
+def list_services(vms: int) -> list[str]:
+    """Return the names of the services of a fleet."""
+    return [f"service-{number:02d}" for number in range(max(1, vms // VMS_PER_SERVICE))]
+
+
+def make_spec(shape: Shape) -> FleetSpec:
+    """Return the fleet's specification; backend servers are left out."""
+    names = list_services(shape.vms)
+    counts = [
+        shape.vms // len(names) + (number < shape.vms % len(names)) for number in range(len(names))
+    ]
+    services = tuple(
+        ServiceSpec(name, count, Behaviour(slots=50))
+        for name, count in zip(names, counts, strict=True)
+    )
+    return FleetSpec(
+        services,
+        make_control_document(shape, 1),
+        tuple(f"domain-{number:02d}" for number in range(shape.domains)),
+        log_level="warning",
+        with_backends=False,
+        ready_timeout_s=60.0,
+    )
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / KB_PER_MB
+    raise ValueError(f"process {pid} has no resident memory")
+
+
+async def read_all(fleet: Fleet) -> list[_Reading]:
+    """Return the counters of each daemon of a fleet."""
+    return list(await asyncio.gather(*(_read(fleet, vm_id) for vm_id in fleet.daemons)))
+
+
+async def _read(fleet: Fleet, vm_id: str) -> _Reading:
+    call = Call("GET", "/status", keep_bytes=MAX_STATUS_BYTES)
+    client = fleet.client(fleet.nodes[vm_id].operator_port)
+    status = orjson.loads((await client.async_call(call, STATUS_TIMEOUT_MS)).body)
+    pid = fleet.daemons[vm_id].pid
+    control: dict[str, Any] = status["control"]
+    return _Reading(
+        time.monotonic(),
+        read_cpu_s(pid),
+        read_memory_mb(pid),
+        control["open_link_sent_bytes"],
+        control["sent_bytes"],
+        sum(bool(peer["connected"]) for peer in status["peers"]),
+        len(status["slots"]),
+    )
+
+
+def count_slots(shape: Shape) -> int:
+    """Return the slots of a fleet; the rate of open routes counts as an account."""
+    used_domains = min(shape.domains, shape.vms)
+    rates = (shape.accounts + 1) * used_domains * SLICES_PER_DOMAIN
+    return rates + len(list_services(shape.vms)) * LEDGER_SLOTS_PER_SERVICE
+
+
+async def settle(fleet: Fleet, shape: Shape) -> float:
+    """Wait until every slot has an owner; return the time that it took, in seconds."""
+    started = time.monotonic()
+    wanted = count_slots(shape)
+    held = -1
+    while held != wanted:
+        if time.monotonic() - started > SETTLE_LIMIT_S:
+            print(f"  {held} of {wanted} slots held after {SETTLE_LIMIT_S:.0f} s", flush=True)
+            break
+        await asyncio.sleep(SETTLE_POLL_S)
+        held = sum(one.slots for one in await read_all(fleet))
+    return time.monotonic() - started
+
+
+async def measure_fleet(
+    shape: Shape, changes: tuple[float, ...], window_s: float, rng: random.Random
+) -> list[Measured]:
+    """Return one measurement for each rate of configuration changes, in changes/s."""
+    found = []
+    async with Fleet(make_spec(shape)) as fleet:
+        settle_s = await settle(fleet, shape)
+        start_bytes = _mean([one.control_bytes for one in await read_all(fleet)])
+        await asyncio.sleep(REST_S)
+        version = 1
+        for rate in changes:
+            count = round(rate * window_s)
+            work = _make_changes(fleet, shape, version, count, window_s, rng)
+            version += count
+            one = attrs.evolve(shape, changes_per_s=rate)
+            found.append(await _measure_window(fleet, one, work, start_bytes, settle_s))
+    return found
+
+
+def _make_changes(
+    fleet: Fleet, shape: Shape, version: int, count: int, window_s: float, rng: random.Random
+) -> Callable[[], Awaitable[None]]:
+    async def run() -> None:
+        started = time.monotonic()
+        for number in range(count):
+            burst = rng.randint(500, 1_500)
+            raw = make_control_document(shape, version + number + 1, burst)
+            await fleet.async_put_document(raw)
+            await asyncio.sleep(max(0.0, started + (number + 1) * window_s / count - _now()))
+        await asyncio.sleep(max(0.0, started + window_s - _now()))
+
+    return run
+
+
+async def _measure_window(
+    fleet: Fleet,
+    shape: Shape,
+    work: Callable[[], Awaitable[None]],
+    start_bytes: float,
+    settle_s: float,
+) -> Measured:
+    reads_before = await _count_reads(fleet)
+    before = await read_all(fleet)
+    cpu_before, cpu_at_s = _read_cpus(fleet), _now()
+    await work()
+    cpu_after, cpu_end_s = _read_cpus(fleet), _now()
+    after = await read_all(fleet)
+    reads = await _count_reads(fleet) - reads_before
+    cpu = [
+        PERCENT * (late - early) / (cpu_end_s - cpu_at_s)
+        for early, late in zip(cpu_before, cpu_after, strict=True)
+    ]
+    pairs = list(zip(before, after, strict=True))
+    frames = [(b.link_bytes - a.link_bytes) / (b.at_s - a.at_s) for a, b in pairs]
+    payloads = [(b.control_bytes - a.control_bytes) / (b.at_s - a.at_s) for a, b in pairs]
+    messages = (_mean(frames) - _mean(payloads)) / FRAME_HEADER_BYTES
+    return Measured(
+        shape=shape,
+        cpu_percent=_mean(cpu),
+        cpu_percent_worst=max(cpu),
+        bytes_per_s=_mean(frames) + messages * TLS_RECORD_BYTES,
+        messages_per_s=messages,
+        memory_mb=_mean([one.memory_mb for one in after]),
+        memory_mb_worst=max(one.memory_mb for one in after),
+        links=_mean([one.links for one in after]),
+        start_bytes=start_bytes,
+        settle_s=settle_s,
+        platform_reads_per_s=reads / (cpu_end_s - cpu_at_s),
+    )
+
+
+async def _count_reads(fleet: Fleet) -> int:
+    return int((await fleet.async_counts())["reads"])
+
+
+def _read_cpus(fleet: Fleet) -> list[float]:
+    return [read_cpu_s(daemon.pid) for daemon in fleet.daemons.values()]
+
+
+def _mean(values: list[float] | list[int]) -> float:
+    return sum(values) / len(values)
+
+
+def _now() -> float:
+    return time.monotonic()
