Shed at the entry by the levels of the chain; learn limits from a call's own time

Cause (script/bench overload, 3-deep chain, limiter fixed at the slots for the comparison): 1. front and middle took the time of their child calls for their own congestion and cut their limits to 4 of 200; 2. a final refusal dropped the levels that came with it, so the entry shed 0 of 1,615 requests at 4x while the deep service shed 1,200; 3. each daemon relayed its own estimate of the levels below and heard it back through its callers as news: the entry's view stayed at 'admit all'; 4. a fault deeper in the chain was retried again at each hop above.

Ruled out: the queue order and the retry budget (same figures with both off).

--- a/libs/admission/src/wisteria_admission/chain.py
+++ b/libs/admission/src/wisteria_admission/chain.py
@@ -178,6 +178,9 @@
 
     def _note_level(self, heard_ms: int, level: AdmissionLevel) -> None:
         reporters = self._services.setdefault(level.service, {})
+        earlier = reporters.get(level.vm_id)
+        if earlier is not None and earlier.heard_ms > heard_ms:
+            return
         reporters.pop(level.vm_id, None)
         reporters[level.vm_id] = _Heard(level.threshold, heard_ms)
         if len(reporters) > MAX_REPORTERS:
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -82,7 +82,12 @@
         return self._enqueue(now_ms, lane, ticket)
 
     def release(
-        self, now_ms: int, call_id: Hashable, outcome: Outcome, latency_ms: int
+        self,
+        now_ms: int,
+        call_id: Hashable,
+        outcome: Outcome,
+        latency_ms: int,
+        child_ms: int = 0,
     ) -> list[Action]:
         """Take in the end of a dispatched call and start queued ones in its place.
 
@@ -96,6 +101,9 @@
             How it ended; a call that was cancelled after its deadline counts as timed out.
         latency_ms : int
             Time from dispatch to the end, in milliseconds.
+        child_ms : int
+            Part of it in which the call waited for child calls, in milliseconds. It says
+            nothing of this backend server's load, so the limit does not learn from it.
 
         Returns
         -------
@@ -109,7 +117,7 @@
         if outcome is Outcome.CANCELLED and now_ms >= ticket.deadline_at_ms:
             outcome = Outcome.TIMEOUT
         if lane is self._short:
-            self.limiter.note(now_ms, latency_ms, len(lane.running), outcome)
+            self.limiter.note(now_ms, max(0, latency_ms - child_ms), len(lane.running), outcome)
         del lane.running[call_id]
         if outcome in (Outcome.SUCCESS, Outcome.TIMEOUT) and lane is self._short:
             self._times.note(now_ms, ticket.route, latency_ms)
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -5,10 +5,12 @@
 import anyio
 import attrs
 
+from wisteria_admission import AdmissionLevel
 from wisteria_routing import RetryAllowance
 from wisteria_wire import CallHead
 
 TOKEN_BYTES = 16
+MAX_LEVELS = 32
 
 
 @attrs.define(eq=False)
@@ -23,18 +25,61 @@
         Deadline on this daemon's clock, in milliseconds.
     allowance : RetryAllowance
         Retries that were lent to the call, for it to lend to child calls.
-    services : set of str
-        Services that the call has used through child calls, at any depth.
+    levels : dict
+        Admission levels that came with the answers to child calls, at any depth, each with
+        the time at which it was heard.
     children : set of CancelScope
         Child calls in flight; they end with their parent.
+    child_failed : bool
+        Whether a child call got no answer, or one that says that its server failed.
     """
 
     token: str
     head: CallHead
     deadline_at_ms: int
     allowance: RetryAllowance
-    services: set[str] = attrs.field(factory=set)
+    levels: dict[tuple[str, str], tuple[int, AdmissionLevel]] = attrs.field(factory=dict)
     children: set[anyio.CancelScope] = attrs.field(factory=set)
+    child_failed: bool = False
+    _waited_ms: int = 0
+    _waiting_since_ms: int | None = None
+
+    def begin_child(self, now_ms: int, scope: anyio.CancelScope) -> None:
+        """Register a child call."""
+        if not self.children:
+            self._waiting_since_ms = now_ms
+        self.children.add(scope)
+
+    def end_child(self, now_ms: int, scope: anyio.CancelScope) -> None:
+        """Forget a child call that has ended."""
+        self.children.discard(scope)
+        if self.children or self._waiting_since_ms is None:
+            return
+        self._waited_ms += now_ms - self._waiting_since_ms
+        self._waiting_since_ms = None
+
+    def note_levels(self, now_ms: int, levels: tuple[AdmissionLevel, ...]) -> None:
+        """Keep the levels of a child call's answer for the own answer."""
+        for level in levels:
+            if len(self.levels) < MAX_LEVELS:
+                self.levels[level.service, level.vm_id] = (now_ms, level)
+
+    def relay_levels(self, now_ms: int) -> tuple[AdmissionLevel, ...]:
+        """Return the levels of the services below, each with its age.
+
+        They keep their reporters: a daemon that passed on an estimate of its own would hear
+        it again through its callers and take it for news.
+        """
+        return tuple(
+            attrs.evolve(level, age_ms=level.age_ms + now_ms - heard_ms)
+            for heard_ms, level in self.levels.values()
+        )
+
+    def read_waited_ms(self, now_ms: int) -> int:
+        """Return the time for which at least one child call was in flight."""
+        if self._waiting_since_ms is None:
+            return self._waited_ms
+        return self._waited_ms + now_ms - self._waiting_since_ms
 
     def count_spent(self) -> int:
         """Return the retries spent so far; what is lent to a child call counts as spent."""
--- a/libs/daemon/src/wisteriaproxy/diagnostics.py
+++ b/libs/daemon/src/wisteriaproxy/diagnostics.py
@@ -87,7 +87,7 @@
             "rates": describe_budget(self.shared.rates.budget),
             "loans": describe_owner(self.shared.rates.owner),
             "poison": self.path.serving.crashes.detector.describe(now_ms),
-            "chain_levels": self.path.serving.levels.describe(now_ms),
+            "chain_levels": self.path.entry.levels.describe(now_ms),
             "control": self._describe_control(),
         }
 
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -22,7 +22,7 @@
 )
 from .calls import CallRegistry
 from .downloads import Relay
-from .forward import Forwarded, Forwarder
+from .forward import Forwarded, Forwarder, has_failed
 from .headers import (
     HEADER_DEADLINE_MS,
     HEADER_IDEMPOTENCY_KEY,
@@ -115,7 +115,7 @@
         request.exchange.on_cancel = scope.cancel
         self._open.add(plan)
         if plan.caller.parent is not None:
-            plan.caller.parent.children.add(scope)
+            plan.caller.parent.begin_child(started_ms, scope)
         code = ResultCode.CANCELLED
         try:
             with scope:
@@ -123,7 +123,7 @@
         finally:
             self._open.discard(plan)
             if plan.caller.parent is not None:
-                plan.caller.parent.children.discard(scope)
+                plan.caller.parent.end_child(self.clock.now_ms(), scope)
         if scope.cancelled_caught:
             code = self._end_early(plan)
         self._note(started_ms, request_id, plan, code)
@@ -228,6 +228,8 @@
         else:
             forwarded = await self.once.forward(head, plan.deadline_at_ms, allowance)
         self._learn(plan, forwarded.head)
+        if plan.caller.parent is not None and has_failed(forwarded.head):
+            plan.caller.parent.child_failed = True
         if admitted is not None and forwarded.head.run_state is RunState.NOT_RUN:
             self.rates.refund(admitted)
         try:
@@ -272,7 +274,7 @@
             now_ms, plan.route.id, plan.caller.account, plan.route.priority, head.levels
         )
         if plan.caller.parent is not None:
-            plan.caller.parent.services.update(level.service for level in head.levels)
+            plan.caller.parent.note_levels(now_ms, head.levels)
 
     # answering
 
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -7,9 +7,10 @@
 
 from wisteria_config import Document
 from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState
-from wisteria_routing import Candidate, Chooser, RetryBudget, RetryConfig
+from wisteria_routing import Candidate, Chooser, ChooserConfig, RetryBudget, RetryConfig
 
 _MILLI = 1_000
+MAX_IN_FLIGHT = 1_000
 
 
 @attrs.define(eq=False)
@@ -34,6 +35,7 @@
     _vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _choosers: dict[str, Chooser] = attrs.field(factory=dict)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    _connections: dict[str, int] = attrs.field(factory=dict)
 
     def find_vm(self, vm_id: VmId) -> Vm | None:
         """Return a VM of the list in force."""
@@ -59,13 +61,13 @@
         self._vms = {vm.vm_id: vm for vm in vm_list}
         services = {vm.service for vm in vm_list}
         self._choosers = {
-            service: self._choosers.get(service) or Chooser(self.failure_domain, self.random)
+            service: self._choosers.get(service) or self._make_chooser(service)
             for service in services
         }
         self.refresh()
 
     def apply_document(self, document: Document) -> None:
-        """Put the retry budgets of a configuration version in force."""
+        """Put the services of a configuration version in force."""
         earlier = self._budgets
         self._budgets = {}
         for service in document.services:
@@ -74,6 +76,10 @@
             if known is None or known.config != config:
                 known = RetryBudget(config)
             self._budgets[service.name] = known
+            self._connections[service.name] = service.connections_max
+            chooser = self._choosers.get(service.name)
+            if chooser is not None:
+                chooser.config = attrs.evolve(chooser.config, max_in_flight=service.connections_max)
 
     def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
         """Take in whether the daemon of a VM says that it takes no new work."""
@@ -98,6 +104,10 @@
         for service, chooser in self._choosers.items():
             chooser.update(now_ms, candidates[service])
 
+    def _make_chooser(self, service: str) -> Chooser:
+        config = ChooserConfig(max_in_flight=self._connections.get(service, MAX_IN_FLIGHT))
+        return Chooser(self.failure_domain, self.random, config)
+
     def _is_usable(self, vm: Vm) -> bool:
         if vm.state is not VmState.LIVE or vm.vm_id in self._leaving:
             return False
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from wisteria_admission import AdmissionLevel
 from wisteria_core import Clock, Refusal, ResultCode, RunState, Vm, VmId
 from wisteria_routing import (
     Attempt,
@@ -229,17 +230,28 @@
         """Return the last answer of a backend server as it is, or the final refusal."""
         if forwarded.head.code is ResultCode.OK:
             return forwarded
-        return self._refuse(refusal)
+        return self._refuse(refusal, forwarded.head.levels)
 
-    def _refuse(self, refusal: Refusal) -> Forwarded:
-        return Forwarded(refusal_to_head(refusal), None, None, self.retries)
+    def _refuse(self, refusal: Refusal, levels: tuple[AdmissionLevel, ...] = ()) -> Forwarded:
+        """Return a final refusal; the levels that came with it tell who sheds."""
+        head = attrs.evolve(refusal_to_head(refusal), levels=levels)
+        return Forwarded(head, None, None, self.retries)
+
+
+def has_failed(head: AnswerHead) -> bool:
+    """Return whether an answer is a refusal, or says that a server failed."""
+    return head.code is not ResultCode.OK or head.status in _RETRIED_STATUSES
 
 
 def _find_failure(head: AnswerHead) -> Refusal | None:
-    """Return what keeps an answer from being final, or None."""
+    """Return what keeps an answer from being final, or None.
+
+    A fault that lies deeper was retried there; running this call again would repeat the
+    work of the whole tree below it.
+    """
     if head.code is not ResultCode.OK:
         return head_to_refusal(head)
-    if head.status in _RETRIED_STATUSES:
+    if head.status in _RETRIED_STATUSES and not head.child_failed:
         reason = f"the backend server answered {head.status}"
         return Refusal(ResultCode.BACKEND_SERVER_FAILED, reason, RunState.RAN)
     return None
@@ -253,4 +265,6 @@
         return CallOutcome.ERROR
     if head.code is not ResultCode.OK:
         return CallOutcome.REFUSED
-    return CallOutcome.ERROR if head.status in _RETRIED_STATUSES else CallOutcome.SUCCESS
+    if head.status in _RETRIED_STATUSES and not head.child_failed:
+        return CallOutcome.ERROR
+    return CallOutcome.SUCCESS
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -7,7 +7,13 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from wisteria_admission import AdmissionConfig, AdmissionGate, ChainLevels
+from wisteria_admission import (
+    AdmissionConfig,
+    AdmissionGate,
+    AimdLimiter,
+    ChainLevels,
+    LimiterConfig,
+)
 from wisteria_config import Document
 from wisteria_config.dissemination import (
     Disseminator,
@@ -195,11 +201,14 @@
     backend = BackendServer(settings.backend, clock)
     serving = ServingPort(
         gate=AdmissionGate(
-            settings.backend.slots, settings.vm.service, identity.vm_id, AdmissionConfig()
+            settings.backend.slots,
+            settings.vm.service,
+            identity.vm_id,
+            AdmissionConfig(),
+            AimdLimiter(LimiterConfig(initial=settings.backend.slots), settings.backend.slots),
         ),
         backend=backend,
         registry=registry,
-        levels=levels,
         clock=clock,
         vm_id=identity.vm_id,
         read_document=lambda: shared.configuration.document,
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -11,8 +11,6 @@
 from wisteria_admission import (
     Action,
     AdmissionGate,
-    AdmissionLevel,
-    ChainLevels,
     Dispatch,
     Outcome,
     Queued,
@@ -86,7 +84,6 @@
     gate: AdmissionGate
     backend: BackendServer
     registry: CallRegistry
-    levels: ChainLevels
     clock: Clock
     vm_id: str
     read_document: Callable[[], Document | None]
@@ -171,7 +168,7 @@
             # a key may have been withdrawn while the call was queued
             refusal = self._check_key(served.head) or self.crashes.start(call_id, served.head)
         if refusal is not None:
-            served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, ()))
+            served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, None))
             return
         call = self.registry.add(served.head, served.deadline_at_ms)
         served.call = call
@@ -244,7 +241,8 @@
         if served.phase is not _Phase.WAITING:
             self.backend_calls.add((served.outcome.value,))
         self._apply(self.gate.cancel(now_ms, call_id))
-        self._apply(self.gate.release(now_ms, call_id, served.outcome, latency_ms))
+        child_ms = served.call.read_waited_ms(now_ms) if served.call is not None else 0
+        self._apply(self.gate.release(now_ms, call_id, served.outcome, latency_ms, child_ms))
 
     async def _run(self, served: _Served, call: RunningCall) -> None:
         served.phase = _Phase.SENT
@@ -255,7 +253,7 @@
             if http_call.run_state is not RunState.NOT_RUN:
                 await self.crashes.note_cut()
             head = refusal_to_head(http_call, call.count_spent())
-            served.responder.send_answer(self._dress(head, served.head, call.services))
+            served.responder.send_answer(self._dress(head, served.head, call))
             return
         try:
             await self._relay(served, call, http_call)
@@ -268,9 +266,9 @@
         if isinstance(inline, Refusal):
             served.outcome = Outcome.ERROR
             head = refusal_to_head(inline, call.count_spent())
-            served.responder.send_answer(self._dress(head, served.head, call.services))
+            served.responder.send_answer(self._dress(head, served.head, call))
             return
-        served.outcome = _judge(answer.status)
+        served.outcome = Outcome.CANCELLED if call.child_failed else _judge(answer.status)
         length = None if answer.length is None or inline is not None else answer.length
         headers = filter_answer_headers(answer.headers)
         head = AnswerHead(
@@ -279,8 +277,9 @@
             spent=call.count_spent(),
             body=inline or b"",
             complete=inline is not None,
+            child_failed=call.child_failed,
         )
-        served.responder.send_answer(self._dress(head, served.head, call.services))
+        served.responder.send_answer(self._dress(head, served.head, call))
         served.phase = _Phase.ANSWERED
         if inline is None:
             await self._stream(served, http_call)
@@ -330,7 +329,7 @@
             served.responder.abort_body(refusal)
             return
         head = refusal_to_head(refusal, served.count_spent())
-        served.responder.send_answer(self._dress(head, served.head, ()))
+        served.responder.send_answer(self._dress(head, served.head, served.call))
 
     def _explain_end(self, served: _Served) -> Refusal:
         run_state = RunState.NOT_RUN if served.phase is _Phase.WAITING else RunState.UNKNOWN
@@ -342,15 +341,10 @@
             return Refusal(ResultCode.STOPPING, "the daemon was stopped", run_state)
         return Refusal(ResultCode.DEADLINE_PASSED, "the deadline has passed", run_state)
 
-    def _dress(
-        self, head: AnswerHead, call: CallHead, services: set[str] | tuple[()]
-    ) -> AnswerHead:
+    def _dress(self, head: AnswerHead, call: CallHead, running: RunningCall | None) -> AnswerHead:
         """Return the head with this VM's load and the levels of the chain below it."""
-        now_ms = self.clock.now_ms()
         own = self.gate.level(call.account, call.priority)
-        relayed: tuple[AdmissionLevel, ...] = ()
-        if services:
-            relayed = self.levels.relay(now_ms, services, self.vm_id, call.account, call.priority)
+        relayed = running.relay_levels(self.clock.now_ms()) if running is not None else ()
         return attrs.evolve(
             head,
             in_flight=self.gate.running() + self.gate.queued(),
--- a/libs/standins/src/wisteria_standins/fleet.py
+++ b/libs/standins/src/wisteria_standins/fleet.py
@@ -33,6 +33,7 @@
 
 _POLL_S = 0.05
 _CALL_TIMEOUT_MS = 2_000
+_MAX_READ_BYTES = 32 * 1024 * 1024
 _DAEMON_PROGRAM = "wisteriaproxy"
 
 
@@ -222,8 +223,12 @@
         return self._clients.setdefault(port, Client(port))
 
     async def async_get(self, port: int, path: str) -> Answer:
-        """Read a path of a port on loopback."""
-        return await self.client(port).async_call(Call("GET", path), _CALL_TIMEOUT_MS)
+        """Read a path of a port on loopback; a kept connection that was closed is replaced."""
+        call = Call("GET", path, keep_bytes=_MAX_READ_BYTES)
+        answer = await self.client(port).async_call(call, _CALL_TIMEOUT_MS)
+        if answer.status == 0 and answer.error.startswith("connection lost"):
+            answer = await self.client(port).async_call(call, _CALL_TIMEOUT_MS)
+        return answer
 
     async def async_call(self, vm_id: str, call: Call, timeout_ms: int | None = 10_000) -> Answer:
         """Send a call to the daemon of a VM as a caller does."""
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -122,6 +122,7 @@
     message.body = head.body
     message.complete = head.complete
     message.leaving = head.leaving
+    message.childFailed = head.child_failed
     if head.levels:
         _write_levels(message.init("levels", len(head.levels)), head.levels)
     return bytes(message.to_bytes())
@@ -148,6 +149,7 @@
                 body=bytes(message.body),
                 complete=message.complete,
                 leaving=message.leaving,
+                child_failed=message.childFailed,
                 levels=tuple(_read_level(one) for one in message.levels),
             )
     except (capnp.KjException, ValueError):
--- a/libs/wire/src/wisteria_wire/models.py
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -114,6 +114,8 @@
         Retries that the call and its child calls have spent.
     in_flight, limit : int
         Calls that run at the serving daemon, and its concurrency limit.
+    child_failed : bool
+        True when a child call of this one failed, so that the fault lies deeper.
     levels : tuple of AdmissionLevel
         Level of the serving daemon, then those of services that it called for this request.
     complete : bool
@@ -135,3 +137,4 @@
     complete: bool = True
     leaving: bool = False
     levels: tuple[AdmissionLevel, ...] = ()
+    child_failed: bool = False
--- a/libs/wire/src/wisteria_wire/wire.capnp
+++ b/libs/wire/src/wisteria_wire/wire.capnp
@@ -45,6 +45,7 @@
   complete @10 :Bool;
   leaving @11 :Bool;
   levels @12 :List(AdmissionLevel);
+  childFailed @13 :Bool;
 }
 
 struct AdmissionLevel {
--- a/script/tools/bench_limits.py
+++ b/script/tools/bench_limits.py
@@ -28,6 +28,7 @@
 RUN_S = 10
 USE = 0.8
 SURGE = 5.0
+CUT_USE = 2.0
 MOVE_EVERY_S = 2
 RATES = (400, 300, 200, 50, 30, 20, 10, 5)
 ACCOUNTS = tuple(AccountRate(f"account-{i}", rate, rate) for i, rate in enumerate(RATES))
@@ -39,7 +40,8 @@
     "slices, lending": Lending,
 }
 KEPT_WAY = "slices, lending"
-STEADY = ("one VM", "moving", "one domain", "burst at once", "neighbour at 5x")
+SURGING = "neighbour at 5x"
+STEADY = ("one VM", "moving", "one domain", "burst at once", SURGING)
 AFTER_KILL = "owner killed"
 PARTITION = "domain cut off"
 
@@ -52,12 +54,20 @@
     ----------
     rate, burst : int
         Calls per second and calls.
+    surging : bool
+        Whether the account offers more than its rate.
+    offered, due, wrongful, inside : int
+        Calls after the warm-up: all, those that one central bucket would admit, those of
+        these that were refused, and those admitted.
+    admitted : int
+        Calls admitted since the start.
     excess : int
         Largest excess of any window over the bound so far, in micro-calls.
     """
 
     rate: int
     burst: int
+    surging: bool = False
     offered: int = 0
     due: int = 0
     wrongful: int = 0
@@ -121,18 +131,23 @@
         case "one domain":
             domain = FailureDomain(f"domain-{account % run.network.size.domains}")
             return run.rng.choice([vm for vm in names if vms[vm] == domain])
-        case "neighbour at 5x" | "domain cut off":
+        case "neighbour at 5x" | "domain cut off" | "owner killed, spread":
             return run.rng.choice(names)
         case _:
             return names[account % len(names)]
 
 
+def choose_use(scenario: str, account: int) -> float:
+    """Return the offered load of an account over its rate."""
+    if scenario == PARTITION:
+        return CUT_USE
+    return SURGE if scenario == SURGING and account == 0 else USE
+
+
 def schedule_arrivals(scenario: str, run: Run, account: int, until_us: int) -> None:
     """Plan the arrivals of one account: Poisson, and a burst where the scenario has one."""
     rate = run.network.size.accounts[account]
-    use = SURGE if scenario == PARTITION else USE
-    if scenario == "neighbour at 5x" and account == 0:
-        use = SURGE
+    use = choose_use(scenario, account)
     start_us = WARM_UP_S * US_PER_S
 
     def arrive() -> None:
@@ -162,7 +177,10 @@
     """Run one scenario under one way of sharing."""
     rng = random.Random(f"{seed}/{scenario}/{size.name}")
     network = Network(size, random.Random(seed))
-    counts = {a.account: Count(a.rate, a.burst) for a in size.accounts}
+    counts = {
+        account.account: Count(account.rate, account.burst, choose_use(scenario, index) > 1)
+        for index, account in enumerate(size.accounts)
+    }
     ideal = {a.account: Bucket(a.rate, a.burst * US_PER_S) for a in size.accounts}
     run = Run(WAYS[way_name](network), network, rng, counts, ideal)
     run.way.start()
@@ -192,8 +210,13 @@
 
 
 def percent_wrongful(runs: list[Run]) -> float:
-    """Return refusals of calls within the rate, in percent of such calls."""
-    counts = [count for run in runs for count in run.counts.values()]
+    """Return refusals of calls within the rate, in percent of such calls.
+
+    An account that offers more than its rate has no wrongful refusals.
+    """
+    counts = [count for run in runs for count in run.counts.values() if not count.surging]
+    if not counts:
+        return 0.0
     return 100 * sum(c.wrongful for c in counts) / sum(c.due for c in counts)
 
 
@@ -205,7 +228,8 @@
 def add_row(table: Table, size: Size, scenario: str, way: str, run: Run) -> None:
     """Add a run to the table."""
     counts = run.counts.values()
-    worst = max(100 * c.wrongful / max(1, c.due) for c in counts)
+    worst = max((100 * c.wrongful / max(1, c.due) for c in counts if not c.surging), default=0)
+    surging = [c for c in counts if c.surging]
     traffic = run.network.traffic.values()
     daemon_seconds = len(size.vms) * (WARM_UP_S + RUN_S)
     portion = ""
@@ -222,6 +246,11 @@
         f"{worst:.3f}",
         f"{sum(t.messages for t in traffic) / daemon_seconds:.1f}",
         f"{sum(t.sent_bytes for t in traffic) / daemon_seconds:.0f}",
+        (
+            f"{100 * sum(c.inside for c in surging) / (sum(c.rate for c in surging) * RUN_S):.0f}"
+            if surging
+            else ""
+        ),
         portion,
     )
 
@@ -231,7 +260,8 @@
     started_s = time.monotonic()
     table = Table(title=f"Account rates, seed {seed}, {RUN_S} s a run after {WARM_UP_S} s")
     columns = ("fleet", "arrivals", "way", "over bound", "wrongful %", "worst account %")
-    for column in (*columns, "messages/s", "bytes/s sent", "cut / rest, % of rate"):
+    traffic = ("messages/s", "bytes/s sent")
+    for column in (*columns, *traffic, "surging, % of rate", "cut / rest, % of rate"):
         table.add_column(column)
     kept: dict[str, list[Run]] = {}
     for size in (COUNCIL, ROUTE_WORKS):
--- a/script/tools/bench_limits_fleet.py
+++ b/script/tools/bench_limits_fleet.py
@@ -147,12 +147,10 @@
         for account in self.network.size.accounts:
             for vm in vms:
                 burst = account.burst * US_PER_S // len(vms)
-                bucket = Bucket(account.rate, burst)
-                bucket.rate = account.rate  # scaled below, by time
-                self.buckets[(vm, account.account)] = bucket
+                self.buckets[(vm, account.account)] = Bucket(account.rate, burst)
 
     def arrive(self, vm: VmId, account: str, done: Outcome) -> None:
-        """Decide a call at `vm`."""
+        """Decide a call at `vm`; its clock is slowed to its part of the rate."""
         scaled_us = self.network.now_us // len(self.network.size.vms)
         done(self.network.now_us, self.buckets[(vm, account)].take(scaled_us))
 
@@ -283,13 +281,12 @@
 
     def _credit(self, vm: VmId, owner: VmId, reply: BorrowReply) -> None:
         self._settle(vm, self.budgets[vm].on_reply(self.now_ms, owner, reply))
+        self._tick_soon(vm)
 
     def _settle(self, vm: VmId, decided: tuple[Decided, ...]) -> None:
         for item in decided:
             done = self.waiting.pop((vm, item.waiter_id))
             done(self.network.now_us, isinstance(item.outcome, Admitted))
-        if decided:
-            self._tick_soon(vm)
 
 
 Way = StaticSplit | OneHome | Lending
--- a/script/tools/bench_overload.py
+++ b/script/tools/bench_overload.py
@@ -156,16 +156,21 @@
         even = make_flows({"guides": 1.0, "crews": 1.0, "surveyor": 1.0})
         for level in LEVELS:
             phases = (Phase(LEVEL_S, level * CAPACITY_PER_S),)
-            found.levels[level] = await self._offer(phases, even)
+            found.levels[level] = await self._offer(phases, even, f"{level}x")
         found.neighbour = await self._offer(
             (Phase(LEVEL_S, (SURVEYOR_LOAD + 2 * OTHER_LOAD) * CAPACITY_PER_S),),
             make_flows({"guides": OTHER_LOAD, "crews": OTHER_LOAD, "surveyor": SURVEYOR_LOAD}),
+            "neighbour",
         )
         found.surge = await self._surge(even)
         await self._count_runs(found)
         return found
 
-    async def _offer(self, phases: tuple[Phase, ...], flows: tuple[Flow, ...]) -> LoadResults:
+    async def _offer(
+        self, phases: tuple[Phase, ...], flows: tuple[Flow, ...], name: str
+    ) -> LoadResults:
+        """Offer a load; its name makes the request ids differ from those of other loads."""
+        flows = tuple(attrs.evolve(flow, name=f"{name}-{flow.name}") for flow in flows)
         targets = tuple(
             Target(node.vm.caller_port)
             for node in self.fleet.nodes.values()
@@ -184,7 +189,7 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._slow_down)
-            return await self._offer(phases, flows)
+            return await self._offer(phases, flows, "surge")
 
     async def _slow_down(self) -> None:
         await anyio.sleep(CALM_S)
--- /dev/null
+++ b/script/tools/control_target.py
@@ -0,0 +1,46 @@
+"""The fleet that users plan for: its list of VMs, its slots, the size of a message on a link."""
+
+from script.tools.control_fleet import FRAME_HEADER_BYTES, TLS_RECORD_BYTES
+
+from wisteria_core import FailureDomain, Vm, VmId, VmList
+from wisteria_limits import AccountRate, SliceId, slices_for
+from wisteria_ownership import SlotId
+from wisteriaproxy.control import encode_control
+from wisteriaproxy.slots import LEDGER_SLOTS_PER_SERVICE, domains_of, ledger_slot, rate_slot
+
+VMS = 2_700
+DOMAINS = 11
+SERVICES = 370
+
+
+def make_list(version: int, vms: int = VMS) -> VmList:
+    """Return a list of VMs spread over the failure domains and services."""
+    return VmList(version, tuple(make_vm(number) for number in range(vms)))
+
+
+def make_vm(number: int) -> Vm:
+    """Return the VM of a number."""
+    host = f"10.{number % DOMAINS}.{number // 250 % 250}.{number % 250}"
+    domain = FailureDomain(f"domain-{number % DOMAINS:02d}")
+    service = f"service-{number % SERVICES:03d}"
+    return Vm(VmId(f"vm-{number:05d}"), host, 7_000, 8_000, domain, service)
+
+
+def make_slots(vm_list: VmList, accounts: int) -> list[SlotId]:
+    """Return every slot of a configuration, as the daemon lists them."""
+    domains = domains_of(vm_list)
+    shares: dict[SliceId, object] = {}
+    for number in range(accounts + 1):
+        shares.update(slices_for(AccountRate(f"account-{number:03d}", 100, 100), domains))
+    slots = [rate_slot(slice_id) for slice_id in shares]
+    services = sorted({vm.service for vm in vm_list})
+    return slots + [
+        ledger_slot(service, index)
+        for service in services
+        for index in range(LEDGER_SLOTS_PER_SERVICE)
+    ]
+
+
+def size_on_link(message: object) -> int:
+    """Return the bytes of a control message with frame header and TLS record."""
+    return len(encode_control(message)) + FRAME_HEADER_BYTES + TLS_RECORD_BYTES
