--- a/libs/ledger/src/wisteria_ledger/refusals.py
+++ b/libs/ledger/src/wisteria_ledger/refusals.py
@@ -36,6 +36,7 @@
 )
 BORN_IN_FUTURE = Refusal(
     ResultCode.BAD_REQUEST,
-    "The key's time lies in the future, so this attempt did not run; set the clock that makes keys.",
+    "The key's time lies in the future, so this attempt did not run. "
+    "Set the clock that makes the keys.",
     RunState.NOT_RUN,
 )
