--- a/libs/ownership/src/wisteria_ownership/claims.py
+++ b/libs/ownership/src/wisteria_ownership/claims.py
@@ -193,8 +193,8 @@
         outcome = self.decide(sender, incarnation, record, item)
         grants: tuple[SlotGrant, ...] = ()
         if outcome is ClaimOutcome.GRANTED:
-            record.granted.pop(sender, None)
-            grants = self.node.grants_unknown_to(record, claim.list_version)
+            known = self.node.grants_unknown_to(record, claim.list_version)
+            grants = tuple(grant for grant in known if grant.vm_id != sender)
             self._grant(sender, incarnation, claim, item, record)
         return ClaimAnswer(item.slot, item.claim_id, outcome, record.term, grants)
 
@@ -229,5 +229,8 @@
         if isinstance(record.phase, Claiming):
             self.node.cancel_claim(record)
             self.node.audit(AuditEvent.CLAIM_YIELDED, record.slot, f"to={sender}")
-        record.granted[sender] = Grant(incarnation, item.claim_id, claim.list_version)
+        grant = Grant(incarnation, item.claim_id, claim.list_version)
+        if record.granted.get(sender) != grant:
+            record.term += 1
+        record.granted[sender] = grant
         record.expected = None
