Eject against the best other server; tests for the share and for copies of a suspect

Cause: planted mistakes went unseen: no bound on the ejected share, and two copies of a suspect on one server. The stricter test showed that with four of six servers failing none was ejected. Before, after: 0 ejected to 2 of 6 (the bound).

--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -200,8 +200,9 @@
         ejected = sum(1 for s in others if s.ejected_until_ms is not None)
         if ejected + 1 > max(1, int(config.eject_share * (len(others) + 1))) or not others:
             return False
-        usual = sum(s.error_rate(now_ms, config) for s in others) / len(others)
-        return server.error_rate(now_ms, config) >= max(config.eject_error_rate, 2.0 * usual)
+        rate = server.error_rate(now_ms, config)
+        lowest = min(other.error_rate(now_ms, config) for other in others)
+        return rate >= max(config.eject_error_rate, 2.0 * lowest)
 
     def _judge_probe(self, now_ms: int, server: Server, outcome: CallOutcome) -> None:
         if server.ejected_until_ms is None or now_ms < server.ejected_until_ms:
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -84,13 +84,13 @@
 
 def test_no_more_than_a_share_is_ejected() -> None:
     chooser = make_chooser()
-
-    def fail(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
-        return CallOutcome.ERROR, 5, HALF_LOADED
-
-    run_calls(chooser, 0, 500, fail)
-    ejected = [server for server in chooser.describe(500) if server["ejected"]]
-    assert len(ejected) <= 2
+    for number in range(60):
+        vm = SERVERS[number % 6]
+        outcome = CallOutcome.SUCCESS if vm in SERVERS[:2] else CallOutcome.ERROR
+        chooser.note_sent(0, vm)
+        chooser.note_answer(0, vm, outcome, 5, HALF_LOADED)
+    ejected = [server for server in chooser.describe(1) if server["ejected"]]
+    assert len(ejected) == 2
 
 
 def test_leaving_and_unreachable_servers_get_nothing() -> None:
--- a/tests/routing/test_poison.py
+++ b/tests/routing/test_poison.py
@@ -108,6 +108,9 @@
     assert isinstance(refused, Refusal)
     assert (refused.code, refused.run_state) == (ResultCode.SHED, RunState.NOT_RUN)
     assert detector.start(1, "other", b"not a suspect") is None
+    detector.finish(1, 7, succeeded=False)
+    assert isinstance(detector.start(1, "copy", bytes([0])), Refusal)
+    assert detector.start(1, 7, bytes([7])) is None
     detector.note_crash(2)
     assert detector.start(3, "a", bytes([0])) is None
     assert isinstance(detector.start(3, "b", bytes([1])), Refusal)
