Ask a daemon's status again when it has closed the idle connection

Cause: hypercorn closes a connection after 5 s of rest, the length of a window; a read in that moment got nothing. After: three tries.

--- a/script/tools/control_fleet.py
+++ b/script/tools/control_fleet.py
@@ -13,8 +13,8 @@
 from script.tools.documents import AccountPlan, RoutePlan, make_document
 
 from wisteria_standins.behaviour import Behaviour
-from wisteria_standins.client import Call
-from wisteria_standins.fleet import Fleet
+from wisteria_standins.client import Answer, Call
+from wisteria_standins.fleet import Fleet, FleetError
 from wisteria_standins.fleet_spec import FleetSpec, ServiceSpec
 
 VMS_PER_SERVICE = 6
@@ -27,6 +27,7 @@
 REST_S = 1.0
 MAX_STATUS_BYTES = 8_000_000
 STATUS_TIMEOUT_MS = 10_000
+STATUS_TRIES = 3
 KB_PER_MB = 1_024
 PERCENT = 100
 US_PER_S = 1_000_000
@@ -92,6 +93,19 @@
     slots: int
 
 
+async def _read_status(fleet: Fleet, vm_id: str) -> dict[str, Any]:
+    """Return the status; asked again when the daemon has just closed the idle connection."""
+    call = Call("GET", "/status", keep_bytes=MAX_STATUS_BYTES)
+    client = fleet.client(fleet.nodes[vm_id].operator_port)
+    answer = Answer()
+    for _ in range(STATUS_TRIES):
+        answer = await client.async_call(call, STATUS_TIMEOUT_MS)
+        if answer.status == 200 and answer.whole:
+            status: dict[str, Any] = orjson.loads(answer.body)
+            return status
+    raise FleetError(f"{vm_id} gives no status: {answer.status} {answer.error}")
+
+
 def make_plans(accounts: int, burst: int = 1_000) -> tuple[AccountPlan, ...]:
     """Return the plans of the client accounts."""
     return tuple(
@@ -153,9 +167,7 @@
 
 
 async def _read(fleet: Fleet, vm_id: str) -> _Reading:
-    call = Call("GET", "/status", keep_bytes=MAX_STATUS_BYTES)
-    client = fleet.client(fleet.nodes[vm_id].operator_port)
-    status = orjson.loads((await client.async_call(call, STATUS_TIMEOUT_MS)).body)
+    status = await _read_status(fleet, vm_id)
     pid = fleet.daemons[vm_id].pid
     control: dict[str, Any] = status["control"]
     return _Reading(
