--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -13,6 +13,7 @@
 
 NO_SERVER_RETRY_AFTER_MS = 500
 FORGIVE_OUTCOMES = 100
+USUAL_REFRESH_MS = 20
 
 
 @attrs.define
@@ -33,6 +34,8 @@
     random: Random
     config: ChooserConfig = attrs.field(factory=ChooserConfig)
     _servers: dict[VmId, Server] = attrs.field(init=False, factory=dict)
+    _usual: Usual | None = attrs.field(init=False, default=None)
+    _usual_at_ms: int = attrs.field(init=False, default=0)
     _seen_candidates: bool = attrs.field(init=False, default=False)
 
     def update(self, now_ms: int, candidates: Iterable[Candidate]) -> None:
@@ -42,6 +45,7 @@
         """
         warm_ms = now_ms if self._seen_candidates else now_ms - self.config.slow_start_ms
         known = self._servers
+        self._usual = None
         self._servers = {}
         for candidate in candidates:
             server = known.get(candidate.vm_id) or Server(candidate, warm_ms)
@@ -179,7 +183,13 @@
         return part >= 1.0 or self.random.random() < part
 
     def _find_usual(self, now_ms: int) -> Usual:
-        """Return the medians over the servers that have evidence."""
+        """Return the medians over the servers that have evidence, a little old at most."""
+        if self._usual is None or now_ms - self._usual_at_ms >= USUAL_REFRESH_MS:
+            self._usual = self._compute_usual(now_ms)
+            self._usual_at_ms = now_ms
+        return self._usual
+
+    def _compute_usual(self, now_ms: int) -> Usual:
         servers = self._servers.values()
         heard = [s.heard_load(now_ms, self.config) for s in servers]
         loads = [load for load in heard if load is not None]
