--- a/libs/admission/src/wisteria_admission/chain.py
+++ b/libs/admission/src/wisteria_admission/chain.py
@@ -16,6 +16,7 @@
 NEGLIGIBLE_USE = 0.01
 MAX_REPORTERS = 64
 MAX_REPRESENTED = 1_000
+SWEEP_MS = 1_000
 
 
 @attrs.frozen
@@ -42,6 +43,14 @@
     heard_ms: int
 
 
+@attrs.define
+class _Refused:
+    """Requests refused at the entry since the last one that was sent."""
+
+    count: int
+    last_ms: int
+
+
 @attrs.define
 class ChainLevels:
     """Admission levels learnt from answers, by service and by route.
@@ -53,7 +62,8 @@
 
     _services: dict[str, dict[str, _Heard]] = attrs.Factory(dict)
     _excesses: dict[str, dict[tuple[str, Priority], _Excess]] = attrs.Factory(dict)
-    _refused: dict[tuple[str, str, Priority], int] = attrs.Factory(dict)
+    _refused: dict[tuple[str, str, Priority], _Refused] = attrs.Factory(dict)
+    _swept_ms: int = 0
     _routes: dict[str, dict[str, float]] = attrs.Factory(dict)
 
     def note_answer(
@@ -69,6 +79,8 @@
         The first one belongs to the service that was called, the others to services that it
         called in turn for this request.
         """
+        if now_ms - self._swept_ms >= SWEEP_MS:
+            self.forget_expired(now_ms)
         named = set()
         for level in levels:
             named.add(level.service)
@@ -89,8 +101,7 @@
         """Return the refusal of a request that a service of its chain would shed, else None."""
         if rank < self.threshold(now_ms, route):
             return None
-        key = (route, account, priority)
-        self._refused[key] = min(MAX_REPRESENTED, self._refused.get(key, 0) + 1)
+        self._count_refused(now_ms, (route, account, priority))
         spread = 1.0 + (rank % HASH_RANKS) / HASH_RANKS
         return Refusal(
             ResultCode.SHED,
@@ -98,13 +109,16 @@
             retry_after_ms=int(HOLD_MS * spread),
         )
 
-    def take_represented(self, route: str, account: str, priority: Priority) -> int:
+    def take_represented(self, now_ms: int, route: str, account: str, priority: Priority) -> int:
         """Return the requests that a call sent now stands for, itself included.
 
-        The serving daemons know the demand of an account only with those refused here. Send
-        the number along with the call and with its child calls.
+        The serving daemons know the demand of an account only with those refused here lately.
+        Send the number along with the call and with its child calls.
         """
-        return 1 + self._refused.pop((route, account, priority), 0)
+        refused = self._refused.pop((route, account, priority), None)
+        if refused is None or now_ms - refused.last_ms >= EXPIRY_MS:
+            return 1
+        return 1 + refused.count
 
     def threshold(self, now_ms: int, route: str) -> int:
         """Return the lowest threshold of the services that `route` needs."""
@@ -154,14 +168,19 @@
         )
 
     def forget_expired(self, now_ms: int) -> None:
-        """Drop what has expired; call it about once a second."""
+        """Drop what has expired; `note_answer` does so once in a while."""
+        self._swept_ms = now_ms
         for service, reporters in list(self._services.items()):
             kept = {vm: h for vm, h in reporters.items() if now_ms - h.heard_ms < EXPIRY_MS}
             if kept:
                 self._services[service] = kept
             else:
                 del self._services[service]
-        self._refused.clear()
+        self._refused = {
+            key: refused
+            for key, refused in self._refused.items()
+            if now_ms - refused.last_ms < EXPIRY_MS
+        }
         for service, excesses in list(self._excesses.items()):
             kept_excesses = {
                 key: excess
@@ -176,6 +195,13 @@
         """Return the threshold of each known service."""
         return {name: self._service_threshold(now_ms, name) for name in sorted(self._services)}
 
+    def _count_refused(self, now_ms: int, key: tuple[str, str, Priority]) -> None:
+        refused = self._refused.get(key)
+        if refused is None or now_ms - refused.last_ms >= EXPIRY_MS:
+            refused = self._refused[key] = _Refused(0, now_ms)
+        refused.count = min(MAX_REPRESENTED, refused.count + 1)
+        refused.last_ms = now_ms
+
     def _note_level(self, heard_ms: int, level: AdmissionLevel) -> None:
         reporters = self._services.setdefault(level.service, {})
         earlier = reporters.get(level.vm_id)
--- a/libs/routing/src/wisteria_routing/poison.py
+++ b/libs/routing/src/wisteria_routing/poison.py
@@ -10,6 +10,8 @@
 from .config import PoisonConfig
 from .const import MAX_CRASHES, MAX_SUSPECTS, MAX_SUSPECTS_PER_REPORT
 
+SWEEP_MS = 60_000
+
 
 @attrs.frozen
 class CrashReport:
@@ -88,6 +90,7 @@
     _records: OrderedDict[bytes, _Record] = attrs.field(init=False, factory=OrderedDict)
     _successes: OrderedDict[bytes, int] = attrs.field(init=False, factory=OrderedDict)
     _running: dict[Hashable, bytes] = attrs.field(init=False, factory=dict)
+    _swept_ms: int = attrs.field(init=False, default=0)
     _crashes: int = attrs.field(init=False, default=0)
 
     def refuse_convicted(self, fingerprint: bytes) -> Refusal | None:
@@ -162,6 +165,8 @@
 
     def note_report(self, now_ms: int, report: CrashReport) -> None:
         """Take in a report, of this VM or of a peer, once or several times."""
+        if now_ms - self._swept_ms >= SWEEP_MS:
+            self.forget_expired(now_ms)
         for fingerprint in report.suspects:
             record = self._record_of(fingerprint)
             if report.crash_id in record.cleared:
@@ -210,7 +215,8 @@
         )
 
     def forget_expired(self, now_ms: int) -> None:
-        """Drop evidence that has expired; call it about once a minute."""
+        """Drop evidence that has expired; `note_report` does so once in a while."""
+        self._swept_ms = now_ms
         for fingerprint in list(self._records):
             if not self._evidence(now_ms, fingerprint):
                 del self._records[fingerprint]
--- a/script/tools/bench_admission_simulation.py
+++ b/script/tools/bench_admission_simulation.py
@@ -264,7 +264,7 @@
         if self.chain.should_shed(now_ms, ticket.rank, ROUTE, account, priority) is not None:
             self.refused(now_ms, call)
             return
-        represented = self.chain.take_represented(ROUTE, account, priority)
+        represented = self.chain.take_represented(now_ms, ROUTE, account, priority)
         ticket = attrs.evolve(ticket, represented=represented)
         offer = self.gate.offer(now_ms, ticket)
         self.apply(now_ms, list(offer.evicted))
--- a/tests/admission/test_chain.py
+++ b/tests/admission/test_chain.py
@@ -76,8 +76,10 @@
         assert refusal is not None
         assert refusal.code is ResultCode.SHED
         assert refusal.retry_after_ms is not None
-    assert levels.take_represented("read", "a", NORMAL) == 8
-    assert levels.take_represented("read", "a", NORMAL) == 1
+    assert levels.take_represented(2, "read", "a", NORMAL) == 8
+    assert levels.take_represented(2, "read", "a", NORMAL) == 1
+    levels.should_shed(3, 600, "read", "a", NORMAL)
+    assert levels.take_represented(60_000, "read", "a", NORMAL) == 1
 
 
 def test_excess_is_the_largest_of_the_chain_and_expires() -> None:
--- a/tests/admission/test_session.py
+++ b/tests/admission/test_session.py
@@ -80,7 +80,7 @@
         if early is not None:
             self.write(now_ms, "entry", call, describe(early))
             return
-        represented = self.chain.take_represented(ROUTE, account, priority)
+        represented = self.chain.take_represented(now_ms, ROUTE, account, priority)
         ticket = Ticket(
             call, account, 1, priority, rank, now_ms + 300, 20, False, ROUTE, represented
         )
