Let the document name the failure domains that divide the rates

Cause: each daemon divided an account's rate among the failure domains of its own list of VMs. While lists differ (a new domain joins) two daemons divide differently and the parts they hold can add up to more than the rate. After: the document names the domains, at least one; the division changes only with a version, for which the limits library keeps the bound. Ruled out: taking the list's domains as a fallback (the bound would hold most of the time).

--- a/libs/config/src/wisteria_config/changes.py
+++ b/libs/config/src/wisteria_config/changes.py
@@ -48,6 +48,7 @@
     """Return what replacing `old` by `new` would do, one sentence a change."""
     return (
         *_compare_public(old.public, new.public),
+        *_compare_domains(old, new),
         *_compare(old.accounts, new.accounts, _account_name, _describe_account, _change_account),
         *_compare(old.keys, new.keys, _key_name, _describe_key, _change_key),
         *_compare(old.services, new.services, _service_name, _describe_service, _change_service),
@@ -73,6 +74,15 @@
             yield from change(before[key], after[key])
 
 
+def _compare_domains(old: Document, new: Document) -> Iterator[str]:
+    before = {domain.name for domain in old.failure_domains}
+    after = {domain.name for domain in new.failure_domains}
+    for name in sorted(before - after):
+        yield f"removes failure domain {name}: its part of every rate goes to the others"
+    for name in sorted(after - before):
+        yield f"adds failure domain {name}: it gets an equal part of every rate"
+
+
 def _account_name(account: Account) -> str:
     return account.name
 
--- a/libs/config/src/wisteria_config/delta.py
+++ b/libs/config/src/wisteria_config/delta.py
@@ -8,7 +8,17 @@
 
 from . import const
 from .constraints import IntegerRange, Names, about
-from .models import NAME, Account, Document, DocumentErrors, KeyRecord, PublicPolicy, Route, Service
+from .models import (
+    NAME,
+    Account,
+    Document,
+    DocumentErrors,
+    DomainRecord,
+    KeyRecord,
+    PublicPolicy,
+    Route,
+    Service,
+)
 from .parser import parse_json
 from .references import find_cross_faults
 from .structure import register_part, structure_part, unstructure
@@ -16,6 +26,7 @@
 T = TypeVar("T")
 
 SECTIONS: dict[str, Callable[[Any], str]] = {
+    "failure_domains": lambda domain: domain.name,
     "accounts": lambda account: account.name,
     "keys": lambda key: key.id,
     "services": lambda service: service.name,
@@ -27,6 +38,9 @@
 class Upserts:
     """Objects that a delta adds or replaces."""
 
+    failure_domains: tuple[DomainRecord, ...] = attrs.field(
+        default=(), metadata=about("Failure domains.")
+    )
     accounts: tuple[Account, ...] = attrs.field(default=(), metadata=about("Client accounts."))
     keys: tuple[KeyRecord, ...] = attrs.field(default=(), metadata=about("Keys of accounts."))
     services: tuple[Service, ...] = attrs.field(default=(), metadata=about("Services."))
@@ -37,6 +51,9 @@
 class Deletions:
     """Names of objects that a delta removes."""
 
+    failure_domains: tuple[str, ...] = attrs.field(
+        default=(), metadata=about("Names.", Names(NAME))
+    )
     accounts: tuple[str, ...] = attrs.field(default=(), metadata=about("Names.", Names(NAME)))
     keys: tuple[str, ...] = attrs.field(default=(), metadata=about("Names.", Names(NAME)))
     services: tuple[str, ...] = attrs.field(default=(), metadata=about("Names.", Names(NAME)))
--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -168,6 +168,13 @@
         return not self.accounts or account in self.accounts
 
 
+@attrs.frozen
+class DomainRecord:
+    """A failure domain among which account rates are divided."""
+
+    name: str = attrs.field(metadata=about("Name, unique, as in the list of VMs.", NAME))
+
+
 @attrs.frozen
 class Document:
     """The one configuration document. Lists are ordered by name."""
@@ -182,6 +189,13 @@
         )
     )
     public: PublicPolicy = attrs.field(metadata=about("Account for open routes."))
+    failure_domains: tuple[DomainRecord, ...] = attrs.field(
+        default=(),
+        metadata=about(
+            "Failure domains, at least one. Every VM divides rates among them alike, whatever "
+            "its list of VMs says."
+        ),
+    )
     accounts: tuple[Account, ...] = attrs.field(default=(), metadata=about("Client accounts."))
     keys: tuple[KeyRecord, ...] = attrs.field(default=(), metadata=about("Keys of accounts."))
     services: tuple[Service, ...] = attrs.field(default=(), metadata=about("Services."))
--- a/libs/config/src/wisteria_config/reference.py
+++ b/libs/config/src/wisteria_config/reference.py
@@ -9,13 +9,14 @@
 
 from . import const
 from .constraints import About, read_about
-from .models import Account, Document, KeyRecord, PublicPolicy, Route, Service
+from .models import Account, Document, DomainRecord, KeyRecord, PublicPolicy, Route, Service
 
 _SECTIONS: tuple[tuple[str, type[Any]], ...] = (
     ("The whole document", Document),
     ("`public`: open routes", PublicPolicy),
     ("`accounts`: client accounts", Account),
     ("`keys`: keys of client accounts", KeyRecord),
+    ("`failure_domains`: failure domains", DomainRecord),
     ("`services`: services", Service),
     ("`routes`: route policies", Route),
 )
--- a/libs/config/src/wisteria_config/references.py
+++ b/libs/config/src/wisteria_config/references.py
@@ -42,8 +42,15 @@
     return isinstance(value, str)
 
 
+def _find_missing_domains(source: Source) -> Iterator[DocumentError]:
+    if not any(True for _ in _parts(source, "failure_domains")):
+        yield DocumentError("$.failure_domains", "names no failure domain; at least one is needed")
+
+
 def find_cross_faults(source: Source) -> Iterator[DocumentError]:
     """Yield each fault that only several values together show."""
+    yield from _find_missing_domains(source)
+    yield from _find_duplicates(source, "failure_domains", "name")
     yield from _find_duplicates(source, "accounts", "name")
     yield from _find_duplicates(source, "keys", "id")
     yield from _find_duplicates(source, "keys", "sha256")
--- a/libs/config/src/wisteria_config/validation.py
+++ b/libs/config/src/wisteria_config/validation.py
@@ -47,6 +47,7 @@
 def _order(document: Document) -> Document:
     return attrs.evolve(
         document,
+        failure_domains=tuple(sorted(document.failure_domains, key=lambda domain: domain.name)),
         accounts=tuple(sorted(document.accounts, key=lambda account: account.name)),
         keys=tuple(sorted(document.keys, key=lambda key: key.id)),
         services=tuple(sorted(document.services, key=lambda service: service.name)),
--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -39,7 +39,7 @@
     make_http_client,
 )
 from .settings import Settings
-from .slots import domains_of, list_slots
+from .slots import list_slots
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
@@ -264,7 +264,7 @@
         document = self.shared.configuration.document
         if document is None or self.vm_list is None:
             return
-        self.shared.rates.apply_document(document, domains_of(self.vm_list))
+        self.shared.rates.apply_document(document)
         self.shared.slots.apply_slots(list_slots(self.shared.rates.shares, document))
 
     def _handle_gap(self) -> None:
--- a/libs/daemon/src/wisteriaproxy/rates.py
+++ b/libs/daemon/src/wisteriaproxy/rates.py
@@ -109,10 +109,10 @@
         """Take an owner as silent."""
         self._settle(self.budget.on_link_lost(self.clock.now_ms(), vm_id))
 
-    def apply_document(self, document: Document, domains: Iterable[FailureDomain]) -> None:
+    def apply_document(self, document: Document) -> None:
         """Put the accounts of a configuration version in force."""
         now_ms = self.clock.now_ms()
-        names = tuple(domains)
+        names = tuple(FailureDomain(domain.name) for domain in document.failure_domains)
         rates = make_rates(document)
         self.shares = {}
         for rate in rates:
--- a/libs/daemon/src/wisteriaproxy/slots.py
+++ b/libs/daemon/src/wisteriaproxy/slots.py
@@ -8,7 +8,7 @@
 import attrs
 
 from wisteria_config import Document
-from wisteria_core import Clock, FailureDomain, VmId, VmList, VmState, rank_by_rendezvous
+from wisteria_core import Clock, VmId, VmList, VmState, rank_by_rendezvous
 from wisteria_ledger import LEDGER_SLOTS_PER_SERVICE
 from wisteria_limits import SliceId
 from wisteria_ownership import (
@@ -154,8 +154,3 @@
             return
         reason = f"{entry.event.value} {entry.detail}".strip()
         self.audit.record("slot", subject, outcome, reason)  # type: ignore[arg-type]
-
-
-def domains_of(vm_list: VmList) -> tuple[FailureDomain, ...]:
-    """Return the failure domains that a list names."""
-    return tuple(sorted({vm.failure_domain for vm in vm_list}))
--- a/script/tools/bench_overhead.py
+++ b/script/tools/bench_overhead.py
@@ -49,6 +49,7 @@
         1,
         (AccountPlan("bench", KEY, rate_per_s=100_000, burst=100_000),),
         (RoutePlan("items", "store", "/items"), RoutePlan("edge", "edge", "/edge")),
+        domains=("north",),
     )
     services = (ServiceSpec("edge", 1, quick), ServiceSpec("store", 1, quick))
     return FleetSpec(services, document, log_level="warning")
--- a/script/tools/control_counts.py
+++ b/script/tools/control_counts.py
@@ -9,7 +9,15 @@
 from rich.console import Console
 from rich.table import Table
 from script.tools.control_domain import count_domain
-from script.tools.control_target import DOMAINS, VMS, make_list, make_slots, make_vm, size_on_link
+from script.tools.control_target import (
+    DOMAINS,
+    VMS,
+    domains_of,
+    make_list,
+    make_slots,
+    make_vm,
+    size_on_link,
+)
 
 from wisteria_admission import AdmissionConfig, AdmissionGate
 from wisteria_config.dissemination import Disseminator
@@ -40,7 +48,6 @@
 from wisteriaproxy.slots import TICK_MS as SLOT_TICK_MS
 from wisteriaproxy.slots import (
     SlotTable,
-    domains_of,
     rate_slot,
 )
 
--- a/script/tools/control_target.py
+++ b/script/tools/control_target.py
@@ -3,10 +3,11 @@
 from script.tools.control_fleet import FRAME_HEADER_BYTES, TLS_RECORD_BYTES
 
 from wisteria_core import FailureDomain, Vm, VmId, VmList
+from wisteria_ledger import LEDGER_SLOTS_PER_SERVICE
 from wisteria_limits import AccountRate, SliceId, slices_for
 from wisteria_ownership import SlotId
 from wisteriaproxy.control import encode_control
-from wisteriaproxy.slots import LEDGER_SLOTS_PER_SERVICE, domains_of, ledger_slot, rate_slot
+from wisteriaproxy.slots import ledger_slot, rate_slot
 
 VMS = 2_700
 DOMAINS = 11
@@ -26,6 +27,11 @@
     return Vm(VmId(f"vm-{number:05d}"), host, 7_000, 8_000, domain, service)
 
 
+def domains_of(vm_list: VmList) -> tuple[FailureDomain, ...]:
+    """Return the failure domains that a list names."""
+    return tuple(sorted({vm.failure_domain for vm in vm_list}))
+
+
 def make_slots(vm_list: VmList, accounts: int) -> list[SlotId]:
     """Return every slot of a configuration, as the daemon lists them."""
     domains = domains_of(vm_list)
--- a/script/tools/documents.py
+++ b/script/tools/documents.py
@@ -52,6 +52,7 @@
     accounts: tuple[AccountPlan, ...],
     routes: tuple[RoutePlan, ...],
     withdrawn: frozenset[str] = frozenset(),
+    domains: tuple[str, ...] = ("north", "south"),
 ) -> bytes:
     """Return a configuration document.
 
@@ -59,12 +60,15 @@
     ----------
     withdrawn : frozenset of str
         Accounts whose keys the document no longer holds.
+    domains : tuple of str
+        Failure domains.
     """
     services = sorted({route.service for route in routes})
     document: dict[str, Any] = {
         "schema": 1,
         "version": version,
         "public": {"rate_per_s": 100, "burst": 100},
+        "failure_domains": [{"name": name} for name in domains],
         "accounts": [
             {
                 "name": one.name,
--- a/tests/config/conftest.py
+++ b/tests/config/conftest.py
@@ -18,6 +18,7 @@
     """Return a small valid document as plain data, with whole sections replaced."""
     plain: Plain = {
         "schema": 1,
+        "failure_domains": [{"name": "north"}],
         "version": version,
         "public": {"rate_per_s": 20, "burst": 40},
         "accounts": [
--- a/tests/config/count_dissemination.py
+++ b/tests/config/count_dissemination.py
@@ -51,6 +51,7 @@
         for number in range(740)
     ]
     plain: dict[str, Any] = {"schema": 1, "version": version}
+    plain["failure_domains"] = [{"name": "north"}]
     plain |= {"public": {"rate_per_s": 50, "burst": 100}, "accounts": accounts, "keys": keys}
     plain |= {"services": services, "routes": routes}
     return json.dumps(plain, separators=(",", ":")).encode()
--- a/tests/config/test_validation.py
+++ b/tests/config/test_validation.py
@@ -152,3 +152,10 @@
 def test_reference_is_up_to_date() -> None:
     page = (ROOT / "docs" / "CONFIGURATION.md").read_text()
     assert page == render_reference(), "run python -m wisteria_config.reference"
+
+
+def test_a_document_names_its_failure_domains() -> None:
+    """Every VM divides rates alike only if the document says among what."""
+    for domains in ([], [{"name": "north"}, {"name": "north"}]):
+        found = places(encode(plain_document(failure_domains=domains)))
+        assert [place.split("[")[0] for place in found] == ["$.failure_domains"]
--- a/tests/wisteriactl/test_cli.py
+++ b/tests/wisteriactl/test_cli.py
@@ -79,11 +79,11 @@
     bad.write_text('{"schema": 1, "version": 0, "public": {"burst": 1}, "extra": 1}')
     status, output = run("config", "check", str(bad))
     assert status == 1
-    for part in ("$.version", "$.public.rate_per_s", "is missing", "'extra'"):
+    for part in ("$.version", "$.public.rate_per_s", "is missing", "'extra'", "$.failure_domains"):
         assert part in output
     status, output = run("config", "check", str(bad), "--json")
     assert status == 1
-    assert len(json.loads(output)["errors"]) == 3
+    assert len(json.loads(output)["errors"]) == 4
 
 
 def test_diff_tells_changes_and_refuses_a_version_that_does_not_rise(tmp_path: Path) -> None:
