Ask ever more owners while small shares yield little; expect returned tokens

Cause: calls of an account spread over all VMs waited out 60 ms while half of its burst lay at owners that the borrower did not ask; returned tokens were left out of the estimates.

--- a/libs/limits/src/wisteria_limits/account.py
+++ b/libs/limits/src/wisteria_limits/account.py
@@ -7,7 +7,7 @@
 from wisteria_core import Refusal, ResultCode
 
 from .config import LimitsConfig
-from .const import MILLI_PER_CALL, MS_PER_S, POOR_YIELD_DIVISOR
+from .const import MILLI_PER_CALL, MOST_DOUBLINGS, MS_PER_S, POOR_YIELD_DIVISOR
 from .demand import Demand
 from .lenders import Lenders
 from .loans import HeldLoans
@@ -48,7 +48,7 @@
     loans: HeldLoans = attrs.field(factory=HeldLoans)
     waiting: OrderedDict[int, int] = attrs.field(factory=OrderedDict)
     next_ask_ms: int = 0
-    ask_interval_ms: int = 0
+    poor_rounds: int = 0
     next_report_ms: int = 0
     round_asked_milli: int = 0
     round_granted_milli: int = 0
@@ -125,13 +125,17 @@
         reserve = target - held if held < target // 2 or needed > 0 else 0
         return Wish(max(0, needed - asked), max(0, reserve - max(0, needed - asked)))
 
-    def note_asked(self, now_ms: int, amount_milli: int) -> None:
-        """Pace the requests: the pause doubles while little of a round is granted."""
+    def judge_round(self, now_ms: int) -> int:
+        """Return how many rounds in a row were granted little, up to the last one."""
         poor = self.round_granted_milli * POOR_YIELD_DIVISOR < self.round_asked_milli
         recent = now_ms - self.next_ask_ms < self.config.idle_return_ms
-        doubled = min(2 * self.ask_interval_ms, self.config.ask_interval_max_ms)
-        self.ask_interval_ms = doubled if poor and recent else self.config.ask_interval_ms
-        self.next_ask_ms = now_ms + self.ask_interval_ms
+        self.poor_rounds = self.poor_rounds + 1 if poor and recent else 0
+        return self.poor_rounds
+
+    def note_asked(self, now_ms: int, amount_milli: int) -> None:
+        """Pace the requests: the pause doubles while little of a round is granted."""
+        pause_ms = self.config.ask_interval_ms << min(self.poor_rounds, MOST_DOUBLINGS)
+        self.next_ask_ms = now_ms + min(pause_ms, self.config.ask_interval_max_ms)
         self.round_asked_milli = amount_milli
         self.round_granted_milli = 0
 
@@ -139,6 +143,8 @@
         """Return whether spent tokens should be reported without waiting for a request."""
         if now_ms >= self.next_report_ms:
             return True
+        if self.lenders.small and self.surplus_milli(now_ms):
+            return True
         limit = self.rate.burst * MILLI_PER_CALL // self.config.report_burst_divisor
         return self.loans.unreported_milli >= max(limit, MILLI_PER_CALL)
 
@@ -162,6 +168,13 @@
             return self.loans.total_milli if not self.lenders.asked_milli else 0
         return max(0, self.loans.total_milli - 2 * target)
 
+    def give_back(self, now_ms: int, amount_milli: int) -> None:
+        """Return tokens that are better lent elsewhere, and expect them at their owners."""
+        for slice_key, part in self.loans.give_back(now_ms, amount_milli).items():
+            lender = self.lenders.by_key.get(slice_key)
+            if lender is not None:
+                lender.level_milli += part
+
     def _may_borrow(self, now_ms: int) -> bool:
         """Return whether the calls waiting and one more can hope for tokens."""
         if not self.lenders.asked_milli and self.next_ask_ms > now_ms + self.config.wait_limit_ms:
--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -8,7 +8,7 @@
 
 from .account import BorrowingAccount
 from .config import LimitsConfig
-from .const import SLICES_PER_DOMAIN
+from .const import MOST_DOUBLINGS, OVERASK, SLICES_PER_DOMAIN
 from .demand import Demand
 from .lenders import Lenders
 from .loans import HeldLoan
@@ -216,7 +216,6 @@
             Lenders(self.config, self.vm_id, self.domain),
             Demand(self.config, now_ms),
             Demand(self.config, now_ms),
-            ask_interval_ms=self.config.ask_interval_ms,
         )
 
     def _find(self, slice_key: int) -> BorrowingAccount | None:
@@ -245,7 +244,10 @@
             return
         preferred = items.keys() | account.loans.owners_to_report()
         asked_before = account.lenders.asked_milli
-        chosen = account.lenders.choose(now_ms, wish.needed_milli, wish.reserve_milli, preferred)
+        overask = OVERASK << min(account.judge_round(now_ms), MOST_DOUBLINGS)
+        chosen = account.lenders.choose(
+            now_ms, wish.needed_milli, wish.reserve_milli, preferred, overask
+        )
         if not chosen:
             return
         account.note_asked(now_ms, account.lenders.asked_milli - asked_before)
@@ -263,7 +265,7 @@
         if due:
             surplus = account.surplus_milli(now_ms)
             if surplus:
-                account.loans.give_back(now_ms, surplus)
+                account.give_back(now_ms, surplus)
             account.next_report_ms = now_ms + self.config.report_interval_ms
         for vm_id in account.loans.owners_to_report():
             if due or vm_id in items:
--- a/libs/limits/src/wisteria_limits/lenders.py
+++ b/libs/limits/src/wisteria_limits/lenders.py
@@ -14,7 +14,6 @@
     LEAST_CONFIDENCE_SMALL,
     MILLI_PER_CALL,
     MS_PER_S,
-    OVERASK,
     SMALL_SHARE_MILLI,
     SURPRISE_DIVISOR,
 )
@@ -142,6 +141,11 @@
             lender.share = share
             self.by_key[slice_id.key] = lender
 
+    @property
+    def small(self) -> bool:
+        """Return whether calls have to be gathered from several slices."""
+        return any(lender.small for lender in self.by_key.values())
+
     def availability_milli(self, now_ms: int) -> int:
         """Return what the usable owners are likely to hold together."""
         return sum(
@@ -164,13 +168,19 @@
         )
 
     def choose(
-        self, now_ms: int, needed_milli: int, reserve_milli: int, preferred: Set[VmId]
+        self,
+        now_ms: int,
+        needed_milli: int,
+        reserve_milli: int,
+        preferred: Set[VmId],
+        overask: int,
     ) -> dict[VmId, list[BorrowItem]]:
         """Spread a wish over the owners and note it as asked.
 
         Owners of the own failure domain come first, then the others; among equals a VM that
-        gets a message anyway, then the one that is likely to hold most. Small shares
-        are gathered where most is likely, wherever that is.
+        gets a message anyway, then the one that is likely to hold most. Small shares are
+        gathered where most is likely, wherever that is, and asked for `overask` times what is
+        needed.
         """
         candidates = [
             (
@@ -191,7 +201,7 @@
             reserve = min(reserve_milli, max(0, available - needed) // 2)
             if needed <= 0 and reserve <= 0:
                 continue
-            likely = available // OVERASK if lender.small else available
+            likely = available // overask if lender.small else available
             needed_milli -= min(needed, likely)
             reserve_milli -= reserve
             lender.expected_milli = available
--- a/libs/limits/src/wisteria_limits/loans.py
+++ b/libs/limits/src/wisteria_limits/loans.py
@@ -89,9 +89,16 @@
         self.total_milli += restored
         return restored
 
-    def give_back(self, now_ms: int, amount_milli: int) -> None:
-        """Set up to `amount_milli` aside for return; the next reports carry it."""
+    def give_back(self, now_ms: int, amount_milli: int) -> dict[int, int]:
+        """Set up to `amount_milli` aside for return; the next reports carry it.
+
+        Returns
+        -------
+        dict
+            Milli-calls returned to each slice, by its key.
+        """
         self.expire(now_ms)
+        returned: dict[int, int] = {}
         for loan in reversed(self._loans.values()):
             part = min(loan.remaining_milli, amount_milli)
             loan.remaining_milli -= part
@@ -99,6 +106,8 @@
             self._owe_report(loan, part)
             amount_milli -= part
             self.total_milli -= part
+            returned[loan.slice_key] = returned.get(loan.slice_key, 0) + part
+        return returned
 
     def expire(self, now_ms: int) -> None:
         """Drop the loans whose time has passed, with whatever is left of them."""
