--- a/script/tools/control_counts.py
+++ b/script/tools/control_counts.py
@@ -4,10 +4,10 @@
 import tracemalloc
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from rich.console import Console
-from rich.table import Table
 from script.tools.control_domain import count_domain
 from script.tools.control_target import (
     DOMAINS,
@@ -61,27 +61,22 @@
 MS_PER_S = 1_000
 BYTES_PER_MB = 1_048_576
 
-
-def count_all(console: Console, seed: int) -> None:
-    """Print the counts; `seed` is named for the record, nothing here is drawn at random."""
-    table = Table(title=f"pure nodes and single calls, seed {seed}", title_justify="left")
-    for name in ("what", "value", "unit"):
-        table.add_column(name)
-    lending = [row for number in ACTIVE_ACCOUNTS for row in count_lending(number)]
-    for row in (*count_list(), *lending):
-        table.add_row(*row)
-    for accounts in ACCOUNTS:
-        for row in (
-            *count_ticks(accounts),
-            *count_memory(accounts),
-            *count_apply(accounts),
-            *count_domain(accounts),
-        ):
-            table.add_row(*row)
-    console.print(table)
+Row = tuple[str, str, str]
 
 
-def count_list() -> list[tuple[str, str, str]]:
+def count_all(console: Console, seed: int) -> None:
+    """Print the counts as they come; `seed` is named for the record, nothing is drawn at random."""
+    console.print(f"pure nodes and single calls, seed {seed}")
+    counts: list[Callable[[], list[Row]]] = [count_list]
+    counts += [partial(count_lending, number) for number in ACTIVE_ACCOUNTS]
+    for count in (count_ticks, count_memory, count_apply):
+        counts += [partial(count, number) for number in ACCOUNTS]
+    for run in (*counts, partial(count_domain, ACCOUNTS[0])):
+        for what, value, unit in run():
+            console.print(f"  {what}: {value} {unit}".rstrip(), highlight=False)
+
+
+def count_list() -> list[Row]:
     """Return the size of the list of VMs, and the time to read it."""
     raw = render_vms(make_list(1))
     took_ms = time_ms(lambda: parse_vms(raw))
@@ -91,7 +86,7 @@
     ]
 
 
-def count_lending(accounts: int) -> list[tuple[str, str, str]]:
+def count_lending(accounts: int) -> list[Row]:
     """Return what one entry daemon and its lenders send for calls spread over some accounts."""
     vm_list = make_list(1)
     domains = domains_of(vm_list)
@@ -149,7 +144,7 @@
     return CALLS_PER_S * now_ms // MS_PER_S
 
 
-def count_ticks(accounts: int) -> list[tuple[str, str, str]]:
+def count_ticks(accounts: int) -> list[Row]:
     """Return the processor time of the timers of an idle daemon."""
     rates = _make_rates(make_list(1, DOMAINS), accounts)
     rates.budget.configure(0, _list_rates(accounts), ())
@@ -175,7 +170,7 @@
     return [AccountRate(f"account-{number:03d}", 100, 100) for number in range(accounts)]
 
 
-def count_apply(accounts: int) -> list[tuple[str, str, str]]:
+def count_apply(accounts: int) -> list[Row]:
     """Return the times of what a new list or document costs one daemon."""
     vm_list = make_list(1)
     slots = make_slots(vm_list, accounts)
@@ -202,7 +197,7 @@
     ]
 
 
-def count_memory(accounts: int) -> list[tuple[str, str, str]]:
+def count_memory(accounts: int) -> list[Row]:
     """Return the memory that the state of one daemon takes at the target's size."""
     tracemalloc.start()
     parsed = parse_vms(render_vms(make_list(1)))
