--- a/script/tools/control_counts.py
+++ b/script/tools/control_counts.py
@@ -69,7 +69,8 @@
     console.print(f"pure nodes and single calls, seed {seed}")
     counts: list[Callable[[], list[Row]]] = [count_list]
     counts += [partial(count_lending, number) for number in ACTIVE_ACCOUNTS]
-    for count in (count_ticks, count_memory, count_apply):
+    by_accounts: tuple[Callable[[int], list[Row]], ...] = (count_ticks, count_memory, count_apply)
+    for count in by_accounts:
         counts += [partial(count, number) for number in ACCOUNTS]
     for run in (*counts, partial(count_domain, ACCOUNTS[0])):
         for what, value, unit in run():
