--- a/script/tools/bench_control.py
+++ b/script/tools/bench_control.py
@@ -149,7 +149,13 @@
     for shape, changes in fleets:
         started = time.monotonic()
         rows += await measure_fleet(shape, changes, window_s, rng)
-        print(f"  {shape} took {time.monotonic() - started:.1f} s", flush=True)
+        took_s = time.monotonic() - started
+        last = rows[-1]
+        print(
+            f"  {shape} took {took_s:.1f} s: {last.cpu_percent:.2f} %, "
+            f"{last.bytes_per_s:.0f} B/s, {last.memory_mb:.1f} MB, {last.links:.1f} links",
+            flush=True,
+        )
     return rows, bare_mb
 
 
--- a/script/tools/control_counts.py
+++ b/script/tools/control_counts.py
@@ -72,7 +72,8 @@
     by_accounts: tuple[Callable[[int], list[Row]], ...] = (count_ticks, count_memory, count_apply)
     for count in by_accounts:
         counts += [partial(count, number) for number in ACCOUNTS]
-    for run in (*counts, partial(count_domain, ACCOUNTS[0])):
+    counts.append(partial(count_domain, ACCOUNTS[0]))
+    for run in counts:
         for what, value, unit in run():
             console.print(f"  {what}: {value} {unit}".rstrip(), highlight=False)
 
