Take no few milliseconds of scatter for congestion

Cause: the daemon now states a call's own time without its child calls; for a service that mostly waits that is 0 to 6 ms, and 1.35 times the baseline is within its scatter.

--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -19,6 +19,8 @@
         Samples that an adjustment needs.
     tolerance : float
         Latency over the baseline that is still taken for normal.
+    min_slack_ms : float
+        Least latency over the baseline that is taken for too long: scatter of short calls.
     backoff, min_backoff : float
         Factor of a multiplicative decrease when calls are a little too slow, and its lower
         bound when they are far too slow.
@@ -31,6 +33,7 @@
     window_ms: int = 100
     min_samples: int = 10
     tolerance: float = 1.35
+    min_slack_ms: float = 5.0
     backoff: float = 0.9
     min_backoff: float = 0.5
     baseline_drift: float = 0.005
--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -238,7 +238,7 @@
         elif self._limit < before or at_floor:
             self._growths = 0
             self._cut_from = self._cut_from or before
-            far = latency_ms > FAR_TOO_LONG * self.config.tolerance * self._baseline_ms
+            far = self._is_too_long(latency_ms / FAR_TOO_LONG)
             if far or at_floor or self._limit <= DESCENT_DEPTH * self._cut_from:
                 self._descent = _Descent(self._cut_from, _Step(now_ms))
 
@@ -276,7 +276,8 @@
         return self._is_too_long(window.mean_ms())
 
     def _is_too_long(self, latency_ms: float) -> bool:
-        return latency_ms > self.config.tolerance * self._baseline_ms
+        slack_ms = max(self.config.min_slack_ms, (self.config.tolerance - 1.0) * self._baseline_ms)
+        return latency_ms > self._baseline_ms + slack_ms
 
     def _grown(self) -> float:
         """Return a higher limit: by half while cold, else by one, then in doubling steps."""
@@ -309,9 +310,9 @@
         if window.drops > window.samples:
             self._cold = False
             return self._limit * self.config.backoff
-        gradient = self.config.tolerance * self._baseline_ms / window.mean_ms()
-        if gradient < 1.0:
+        if self._is_slow(window):
             self._cold = False
+            gradient = self.config.tolerance * self._baseline_ms / window.mean_ms()
             target = self._limit * max(0.5, gradient) + math.sqrt(self._limit)
             return self._limit + 0.2 * (target - self._limit)
         return self._grown() if self._is_used(window) else self._limit
--- a/tests/admission/test_limiters.py
+++ b/tests/admission/test_limiters.py
@@ -1,5 +1,7 @@
 """Concurrency limits: bounds for any input, and the bars of the simulated overload."""
 
+from random import Random
+
 import hypothesis.strategies as st
 import pytest
 from hypothesis import given, settings
@@ -63,6 +65,15 @@
     assert limiter.limit() >= 24
 
 
+def test_scatter_of_short_calls_does_not_lower_the_limit() -> None:
+    """Own times of a service that mostly waits for others: a few ms, with scatter."""
+    limiter = AimdLimiter(LimiterConfig(), 40)
+    random = Random(2)
+    for now_ms in range(10_000):
+        limiter.note(now_ms, random.choice((0, 1, 1, 2, 6)), limiter.limit(), Outcome.SUCCESS)
+        assert now_ms < 2_000 or limiter.limit() == 40
+
+
 def test_timeouts_lower_the_limit() -> None:
     limiter = AimdLimiter(LimiterConfig(initial=40), 40)
     for now_ms in range(0, 2_000, 10):
