--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -6,6 +6,7 @@
 import attrs
 
 from .config import LimiterConfig
+from .descents import Descent, Step
 from .models import Outcome
 
 BASELINE_WINDOWS = 3
@@ -32,18 +33,6 @@
 DESCENT_STEP = 0.6
 """Highest factor of one step of a descent."""
 
-STEP_PART = 0.8
-"""Part of the calls at once, from step to step, below which two steps can be compared."""
-
-STEP_SAMPLES = 20
-"""Calls that a step of a descent waits for."""
-
-STEP_LATENCIES = 1.5
-"""Length that a step must have, as a multiple of its mean latency."""
-
-STEP_MAX_MS = 600
-"""Longest step of a descent."""
-
 
 class Limiter(Protocol):
     """A concurrency limit that learns from the calls that end."""
@@ -100,59 +89,6 @@
         return max(0.5, self.latency_sum_ms / max(1, self.samples))
 
 
-@attrs.define
-class _Step:
-    """One step of a descent: the calls that started and ended under one limit."""
-
-    started_ms: int
-    ended: int = 0
-    latency_sum_ms: int = 0
-    running_sum: int = 0
-
-    def note(self, now_ms: int, latency_ms: int, running: int) -> None:
-        """Count a call that ended, unless it started under another limit."""
-        if now_ms - latency_ms >= self.started_ms:
-            self.ended += 1
-            self.latency_sum_ms += latency_ms
-            self.running_sum += running
-
-    def mean_ms(self) -> float:
-        """Return the mean latency of the calls counted."""
-        return self.latency_sum_ms / max(1, self.ended)
-
-    def mean_running(self) -> float:
-        """Return how many calls ran at once, urgent ones beyond the limit included."""
-        return self.running_sum / max(1, self.ended)
-
-    def is_over(self, now_ms: int) -> bool:
-        """Return whether the mean can be trusted, or has taken too long to come."""
-        elapsed_ms = now_ms - self.started_ms
-        if elapsed_ms >= STEP_MAX_MS:
-            return True
-        return self.ended >= STEP_SAMPLES and elapsed_ms >= STEP_LATENCIES * self.mean_ms()
-
-
-@attrs.define
-class _Descent:
-    """Steps down from a limit under which calls were far too long.
-
-    They tell congestion, where fewer calls at once are shorter in proportion, from a server
-    whose calls have become longer, where they are not.
-    """
-
-    start: float
-    step: _Step
-    first: _Step | None = None
-
-    def is_flat(self) -> bool:
-        """Return whether clearly fewer calls at once were as long as those of the first step."""
-        first, step = self.first, self.step
-        if first is None or not first.ended or not step.ended:
-            return False
-        part = step.mean_running() / first.mean_running()
-        return part <= STEP_PART and step.mean_ms() > (1.0 + part) / 2.0 * first.mean_ms()
-
-
 @attrs.define
 class AdaptiveLimiter:
     """Common part of the limiters that adjust once for each window of samples.
@@ -174,7 +110,7 @@
     _window: _Window = attrs.field(init=False, factory=_Window)
     _growths: int = attrs.field(init=False, default=0)
     _cut_from: float | None = attrs.field(init=False, default=None)
-    _descent: _Descent | None = attrs.field(init=False, default=None)
+    _descent: Descent | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         self._limit = float(self.config.initial)
@@ -240,9 +176,9 @@
             self._cut_from = self._cut_from or before
             far = self._is_too_long(latency_ms / FAR_TOO_LONG)
             if far or at_floor or self._limit <= DESCENT_DEPTH * self._cut_from:
-                self._descent = _Descent(self._cut_from, _Step(now_ms))
+                self._descent = Descent(self._cut_from, Step(now_ms))
 
-    def _advance_descent(self, now_ms: int, descent: _Descent) -> None:
+    def _advance_descent(self, now_ms: int, descent: Descent) -> None:
         """Judge the present step once it is over; go one down, or end the descent."""
         step = descent.step
         if not step.is_over(now_ms):
@@ -255,7 +191,7 @@
         elif self._limit > self._floor():
             self._limit *= self._cut_factor(step.mean_ms(), DESCENT_STEP)
             self._clamp()
-            descent.first, descent.step = descent.first or step, _Step(now_ms)
+            descent.first, descent.step = descent.first or step, Step(now_ms)
             return
         elif step.ended:
             # the floor is the least that calls can be given room: they take as long as this
