--- a/libs/limits/src/wisteria_limits/account.py
+++ b/libs/limits/src/wisteria_limits/account.py
@@ -7,7 +7,13 @@
 from wisteria_core import Refusal, ResultCode
 
 from .config import LimitsConfig
-from .const import MILLI_PER_CALL, MOST_DOUBLINGS, MS_PER_S, POOR_YIELD_DIVISOR
+from .const import (
+    MILLI_PER_CALL,
+    MOST_DOUBLINGS,
+    MS_PER_S,
+    POOR_YIELD_DIVISOR,
+    REPORT_INTERVAL_BURST_DIVISOR,
+)
 from .demand import Demand
 from .lenders import Lenders
 from .loans import HeldLoans
@@ -148,6 +154,15 @@
         limit = self.rate.burst * MILLI_PER_CALL // self.config.report_burst_divisor
         return self.loans.unreported_milli >= max(limit, MILLI_PER_CALL)
 
+    @property
+    def report_interval_ms(self) -> int:
+        """Return the longest delay of a report, which keeps unreported tokens few."""
+        refill_ms = self.rate.burst * MS_PER_S // self.rate.rate
+        slowest_ms = min(
+            refill_ms // REPORT_INTERVAL_BURST_DIVISOR, self.config.report_interval_max_ms
+        )
+        return max(slowest_ms, self.config.report_interval_ms)
+
     def target_milli(self, now_ms: int) -> int:
         """Return the milli-calls that should be held ahead of need."""
         arrival_ms = self.demand.last_arrival_ms
--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -266,7 +266,7 @@
             surplus = account.surplus_milli(now_ms)
             if surplus:
                 account.give_back(now_ms, surplus)
-            account.next_report_ms = now_ms + self.config.report_interval_ms
+            account.next_report_ms = now_ms + account.report_interval_ms
         for vm_id in account.loans.owners_to_report():
             if due or vm_id in items:
                 reports.setdefault(vm_id, []).extend(account.loans.take_reports(vm_id))
--- a/libs/limits/src/wisteria_limits/config.py
+++ b/libs/limits/src/wisteria_limits/config.py
@@ -29,8 +29,9 @@
         An owner that has not replied for so long is taken as silent.
     round_ms : int
         Pause between two rounds of requests that are ahead of need, for all accounts together.
-    report_interval_ms : int
-        Longest delay of a report on spent tokens.
+    report_interval_ms, report_interval_max_ms : int
+        Longest delay of a report on spent tokens; within these bounds it grows with the time
+        in which the account's rate refills its burst.
     report_burst_divisor : int
         Spent tokens beyond the account's burst divided by this are reported at once.
     ask_interval_ms, ask_interval_max_ms : int
@@ -54,6 +55,7 @@
     reply_timeout_ms: int = const.DEFAULT_REPLY_TIMEOUT_MS
     round_ms: int = const.DEFAULT_ROUND_MS
     report_interval_ms: int = const.DEFAULT_REPORT_INTERVAL_MS
+    report_interval_max_ms: int = const.DEFAULT_REPORT_INTERVAL_MAX_MS
     report_burst_divisor: int = const.DEFAULT_REPORT_BURST_DIVISOR
     ask_interval_ms: int = const.DEFAULT_ASK_INTERVAL_MS
     ask_interval_max_ms: int = const.DEFAULT_ASK_INTERVAL_MAX_MS
