--- a/libs/membership/src/wisteria_membership/machine.py
+++ b/libs/membership/src/wisteria_membership/machine.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from wisteria_core import VmId, VmList, VmState
+from wisteria_core import VmId, VmList, VmState, rendezvous_weight
 
 from .budget import ByteBudget
 from .config import MembershipConfig
-from .const import NO_VERSION
+from .const import NO_VERSION, NOTICES_MASK
 from .judgement import judge
 from .models import (
     Action,
@@ -24,7 +24,7 @@
 )
 from .overlay import Overlay
 from .rumours import Rumours
-from .sizes import estimate_bytes
+from .sizes import estimate_bytes, estimate_news_bytes, sum_news_bytes
 
 
 class Membership:
@@ -74,8 +74,9 @@
         self._stall_ms = 0
         self._stall_until_ms = now_ms
         self._probe_due_ms = now_ms
+        self._watched: set[VmId] = set()
+        self._notices_digest = 0
         self._actions: list[Action] = []
-        self._tell(NewsKind.STARTED, vm_id, incarnation)
 
     # --- what the daemon asks
 
@@ -142,6 +143,8 @@
             self._take_contact(now_ms, record, sender_incarnation, message)
         for news in message.news:
             self._take_news(now_ms, news)
+        if record is not None:
+            self._compare_notices(record, message.notices_digest)
         match message:
             case Heartbeat():
                 self._send_reply(now_ms, sender, message)
@@ -159,9 +162,8 @@
         if now_ms >= self._probe_due_ms:
             self._probe_due_ms = now_ms + self.config.interval_ms
             self._send_probes(now_ms)
-        for record in self.records.values():
-            if record.status is not Status.LIVE or record.reports:
-                self._judge(now_ms, record)
+        for vm_id in sorted(self._watched):
+            self._judge(now_ms, self.records[vm_id])
         return self._flush()
 
     def note_call_outcome(self, now_ms: int, vm_id: VmId, is_ok: bool) -> list[Action]:
@@ -188,7 +190,7 @@
         """Note that a VM's daemon said on an answer whether it takes new work."""
         record = self.records.get(vm_id)
         if record is not None:
-            record.leaves_by_notice = is_leaving
+            self._set_notice(record, is_leaving)
             self._judge(now_ms, record)
         return self._flush()
 
@@ -206,6 +208,7 @@
         if self.is_leaving is is_leaving:
             return self._flush()
         self.is_leaving = is_leaving
+        self._notices_digest ^= _digest_notice(self.vm_id, self.incarnation)
         kind = NewsKind.LEAVING if is_leaving else NewsKind.STAYING
         self._tell(kind, self.vm_id, self.incarnation)
         self._actions.append(AuditEntry(now_ms, kind.value, self.vm_id))
@@ -217,7 +220,7 @@
         self, now_ms: int, record: PeerRecord, incarnation: int, message: MembershipMessage
     ) -> None:
         self._note_incarnation(now_ms, record, incarnation)
-        record.leaves_by_notice = message.is_leaving
+        self._set_notice(record, message.is_leaving)
         if message.stalled_ms >= self.config.stall_ms:
             record.stalled_until_ms = now_ms + self.config.stall_hold_ms
         record.versions = PeerVersions(
@@ -226,6 +229,18 @@
         self._clear_silence(record)
         self._judge(now_ms, record)
 
+    def _set_notice(self, record: PeerRecord, is_leaving: bool) -> None:
+        if record.leaves_by_notice is not is_leaving:
+            record.leaves_by_notice = is_leaving
+            self._notices_digest ^= _digest_notice(record.vm_id, record.incarnation)
+
+    def _compare_notices(self, record: PeerRecord, notices_digest: int) -> None:
+        """Send a peer that knows of other leaving VMs all that is held, in small parts."""
+        if notices_digest == self._notices_digest:
+            record.missed.clear()
+        elif not record.missed:
+            record.missed = self._rumours.list_notices()
+
     def _take_answer(self, now_ms: int, record: PeerRecord, reply: HeartbeatReply) -> None:
         if record.awaited is not None and reply.sequence >= record.awaited:
             record.awaited = None
@@ -246,10 +261,15 @@
             self._actions.append(
                 AuditEntry(now_ms, "restarted", record.vm_id, f"incarnation={incarnation}")
             )
-            record.leaves_by_notice = False
             record.stalled_until_ms = None
             self._clear_silence(record)
+            self._rumours.add(
+                News(NewsKind.STARTED, record.vm_id, incarnation, record.vm_id, incarnation, 0)
+            )
+        keeps_notice = record.leaves_by_notice and record.incarnation == NO_VERSION
+        self._set_notice(record, False)
         record.incarnation = incarnation
+        self._set_notice(record, keeps_notice)
         self._judge(now_ms, record)
 
     def _take_news(self, now_ms: int, news: News) -> None:
@@ -263,10 +283,10 @@
             case NewsKind.STARTED:
                 pass
             case NewsKind.LEAVING:
-                record.leaves_by_notice = True
+                self._set_notice(record, True)
                 self._hasten(now_ms)
             case NewsKind.STAYING:
-                record.leaves_by_notice = False
+                self._set_notice(record, False)
             case NewsKind.UNREACHABLE:
                 record.reports[news.origin] = now_ms + self.config.report_ms
             case NewsKind.REACHABLE:
@@ -275,6 +295,10 @@
 
     def _judge(self, now_ms: int, record: PeerRecord) -> None:
         new, reason = judge(record, now_ms, self.config)
+        if new is Status.LIVE and not record.reports:
+            self._watched.discard(record.vm_id)
+        else:
+            self._watched.add(record.vm_id)
         if new is record.status:
             return
         self._change(now_ms, record, new, reason)
@@ -284,6 +308,8 @@
 
     def _remove(self, now_ms: int, vm_id: VmId) -> None:
         record = self.records.pop(vm_id)
+        self._watched.discard(vm_id)
+        self._set_notice(record, False)
         self._change(now_ms, record, Status.GONE, "list")
         self._rumours.forget(vm_id)
 
@@ -325,8 +351,9 @@
     def _send_probes(self, now_ms: int) -> None:
         doubtful = [
             record
-            for record in self.records.values()
-            if record.status in (Status.UNREACHABLE, Status.PAUSED)
+            for record in map(self.records.__getitem__, sorted(self._watched))
+            if record.status is not Status.LIVE
+            and not record.leaves_by_list
             and record.vm_id not in self._neighbours
             and now_ms >= record.due_ms
         ]
@@ -352,13 +379,29 @@
     ) -> None:
         empty = self._make(kind, sequence, ())
         spare = self._budget.available(now_ms) - estimate_bytes(empty)
-        news = self._rumours.select(min(spare, self.config.news_bytes))
+        news_bytes = min(spare, self.config.news_bytes)
+        news = self._take_missed(vm_id, news_bytes)
+        news += self._rumours.select(news_bytes - sum_news_bytes(news))
         message = self._make(kind, sequence, news)
         size = estimate_bytes(message)
         self._budget.spend(size)
         self.bytes_sent += size
         self._actions.append(Send(vm_id, message))
 
+    def _take_missed(self, vm_id: VmId, budget_bytes: int) -> tuple[News, ...]:
+        """Return news for a VM whose digest of notices differs."""
+        record = self.records.get(vm_id)
+        chosen: tuple[News, ...] = ()
+        while record is not None and record.missed:
+            news = record.missed[-1]
+            if self._rumours.is_current(news):
+                if estimate_news_bytes(news) > budget_bytes:
+                    break
+                budget_bytes -= estimate_news_bytes(news)
+                chosen += (news,)
+            record.missed.pop()
+        return chosen
+
     def _make(
         self,
         kind: type[Heartbeat] | type[HeartbeatReply],
@@ -372,9 +415,14 @@
             config_digest=self._own.config_digest,
             is_leaving=self.is_leaving,
             stalled_ms=self._stall_ms,
+            notices_digest=self._notices_digest,
             news=news,
         )
 
     def _flush(self) -> list[Action]:
         actions, self._actions = self._actions, []
         return actions
+
+
+def _digest_notice(vm_id: VmId, incarnation: int) -> int:
+    return rendezvous_weight(str(incarnation), vm_id) & NOTICES_MASK
--- a/libs/membership/src/wisteria_membership/models.py
+++ b/libs/membership/src/wisteria_membership/models.py
@@ -92,6 +92,8 @@
         Whether the sender takes no new work.
     stalled_ms : int
         Longest recent gap of the sender's event loop, 0 when below the limit.
+    notices_digest : int
+        Digest of the VMs that the sender knows to be leaving by their own notice.
     news : tuple of News
         News, newest first.
     """
@@ -102,6 +104,7 @@
     config_digest: bytes
     is_leaving: bool
     stalled_ms: int
+    notices_digest: int
     news: tuple[News, ...]
 
 
@@ -115,6 +118,7 @@
     config_digest: bytes
     is_leaving: bool
     stalled_ms: int
+    notices_digest: int
     news: tuple[News, ...]
 
 
@@ -147,6 +151,7 @@
     stalled_until_ms: int | None = None
     reports: dict[VmId, int] = attrs.field(factory=dict)
     has_reported: bool = False
+    missed: list[News] = attrs.field(factory=list)
     versions: PeerVersions = attrs.field(factory=PeerVersions)
 
 
--- a/libs/membership/src/wisteria_membership/rumours.py
+++ b/libs/membership/src/wisteria_membership/rumours.py
@@ -7,10 +7,10 @@
 from wisteria_core import VmId
 
 from .const import MAX_RUMOURS
-from .models import News
+from .models import News, NewsKind
 from .sizes import estimate_news_bytes
 
-REPEATS_PER_DOUBLING = 2
+REPEATS_PER_DOUBLING = 1
 
 
 @attrs.define
@@ -46,10 +46,25 @@
         self._held.pop(news.key, None)
         self._held[news.key] = Rumour(news, self.repeats(), self._count)
         if len(self._held) > MAX_RUMOURS:
-            oldest = next(iter(self._held))
-            del self._held[oldest]
+            self._evict()
         return True
 
+    def _evict(self) -> None:
+        """Drop the oldest news, notices of leaving last."""
+        keys = list(self._held)
+        others = [key for key in keys if self._held[key].news.kind is not NewsKind.LEAVING]
+        del self._held[(others or keys)[0]]
+
+    def list_notices(self) -> list[News]:
+        """Return what VMs said of themselves, those that are leaving last."""
+        held = [item.news for item in self._held.values() if not item.news.kind.is_report]
+        return sorted(held, key=lambda news: news.kind is NewsKind.LEAVING)
+
+    def is_current(self, news: News) -> bool:
+        """Return whether nothing newer of the same key is held."""
+        held = self._held.get(news.key)
+        return held is not None and held.news == news
+
     def forget(self, vm_id: VmId) -> None:
         """Drop the news on a VM that is gone."""
         for key in [key for key in self._held if vm_id in key[:2]]:
