Rank without a lookup for each VM, and skip grants that a peer's list names

Cause: at 60 VMs and 480 slots a cold start took 0.11 s of processor time a VM, by profile in the lookups of the ranking and in the search for grants to report in each hello reply.

--- a/libs/ownership/src/wisteria_ownership/claims.py
+++ b/libs/ownership/src/wisteria_ownership/claims.py
@@ -138,7 +138,7 @@
                 return
         known = record.granted.get(reported.vm_id)
         if known is None or known.claim_id < grant.claim_id:
-            record.granted[reported.vm_id] = grant
+            node.add_grant(record, reported.vm_id, grant)
 
     # --- changes that an open claim must follow
 
@@ -232,5 +232,5 @@
         grant = Grant(incarnation, item.claim_id, claim.list_version)
         if record.granted.get(sender) != grant:
             record.term += 1
-        record.granted[sender] = grant
+        self.node.add_grant(record, sender, grant)
         record.expected = None
--- a/libs/ownership/src/wisteria_ownership/node.py
+++ b/libs/ownership/src/wisteria_ownership/node.py
@@ -45,6 +45,7 @@
     recovered: set[Scope] = attrs.field(factory=set)
     attention: dict[SlotId, None] = attrs.field(factory=dict)
     known_version: int = NO_VERSION
+    newest_grant: int = NO_VERSION
     claim_count: int = 0
     serial: int = 0
     fenced_at_ms: int | None = None
@@ -111,6 +112,11 @@
         self.serial += 1
         return self.serial
 
+    def add_grant(self, record: SlotRecord, vm_id: VmId, grant: Grant) -> None:
+        """Remember a grantee."""
+        record.granted[vm_id] = grant
+        self.newest_grant = max(self.newest_grant, grant.list_version)
+
     def prune_grants(self, record: SlotRecord) -> None:
         """Forget grantees that the list says are gone or that said farewell."""
         lapsed = [vm_id for vm_id, grant in record.granted.items() if self.is_over(vm_id, grant)]
@@ -124,6 +130,8 @@
 
     def grants_unknown_to(self, record: SlotRecord, list_version: int) -> tuple[SlotGrant, ...]:
         """Return grantees that a list of that version need not name."""
+        if list_version >= self.newest_grant:
+            return ()
         self.prune_grants(record)
         return tuple(
             SlotGrant(record.slot, vm_id, grant.incarnation, grant.claim_id, grant.list_version)
@@ -166,7 +174,8 @@
         if not isinstance(phase, Transferring):
             return
         record.phase = Free()
-        record.granted[phase.heir] = Grant(phase.heir_incarnation, claim_id, phase.list_version)
+        grant = Grant(phase.heir_incarnation, claim_id, phase.list_version)
+        self.add_grant(record, phase.heir, grant)
         self.audit(event, record.slot, f"heir={phase.heir}")
 
     def grow(self, backoff_ms: int) -> int:
--- a/libs/ownership/src/wisteria_ownership/recovery.py
+++ b/libs/ownership/src/wisteria_ownership/recovery.py
@@ -69,9 +69,10 @@
         shared = [slot for slot in node.attention if self._shares(sender, slot)]
         records = [node.records[slot] for slot in shared if slot in node.records]
         active = tuple(_describe(record) for record in records if record.is_active)
+        is_older = hello.list_version < node.newest_grant
         grants = tuple(
             grant
-            for record in node.records.values()
+            for record in (node.records.values() if is_older else ())
             if record.granted and self._shares(sender, record.slot)
             for grant in node.grants_unknown_to(record, hello.list_version)
         )
@@ -120,7 +121,8 @@
             return
         known = record.granted.get(sender)
         if known is None or known.claim_id <= item.claim_id:
-            record.granted[sender] = Grant(incarnation, item.claim_id, reply.list_version)
+            grant = Grant(incarnation, item.claim_id, reply.list_version)
+            node.add_grant(record, sender, grant)
         if isinstance(record.phase, Claiming) and sender not in record.phase.cleared:
             record.phase.pending.add(sender)
 
--- a/libs/ownership/src/wisteria_ownership/roster.py
+++ b/libs/ownership/src/wisteria_ownership/roster.py
@@ -33,6 +33,7 @@
     version: int = NO_VERSION
     vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _members: dict[Scope, frozenset[VmId]] = attrs.field(factory=dict)
+    _live: dict[Scope, list[VmId]] = attrs.field(factory=dict)
     _first: dict[SlotId, VmId | None] = attrs.field(factory=dict)
 
     def update(self, vm_list: VmList) -> RosterChange:
@@ -41,6 +42,7 @@
         self.vms = {vm.vm_id: vm for vm in vm_list}
         self.version = vm_list.version
         self._members.clear()
+        self._live.clear()
         change = RosterChange(
             joined=frozenset(self.vms.keys() - before.keys()),
             gone=frozenset(before.keys() - self.vms.keys()),
@@ -76,12 +78,19 @@
 
     def ranked(self, slot: SlotId) -> list[VmId]:
         """Return the live VMs of the slot's scope, best first."""
-        live = (vm_id for vm_id in self.members(slot.scope) if self.is_live(vm_id))
-        return sorted(live, key=lambda vm_id: _sort_key(slot, vm_id))
+        return sorted(self._live_members(slot.scope), key=lambda vm_id: _sort_key(slot, vm_id))
 
     def _find_first(self, slot: SlotId) -> VmId | None:
-        live = (vm_id for vm_id in self.members(slot.scope) if self.is_live(vm_id))
-        return min(live, key=lambda vm_id: _sort_key(slot, vm_id), default=None)
+        key = slot.key
+        weights = [(-rendezvous_weight(key, vm), vm) for vm in self._live_members(slot.scope)]
+        return min(weights)[1] if weights else None
+
+    def _live_members(self, scope: Scope) -> list[VmId]:
+        found = self._live.get(scope)
+        if found is None:
+            found = [vm_id for vm_id in self.members(scope) if self.is_live(vm_id)]
+            self._live[scope] = found
+        return found
 
     def _update_first(self, change: RosterChange) -> None:
         """Mend the cached ranks: only a change of the first VM costs a whole ranking."""
--- a/libs/ownership/src/wisteria_ownership/transfers.py
+++ b/libs/ownership/src/wisteria_ownership/transfers.py
@@ -245,7 +245,7 @@
         phase = record.phase
         if isinstance(phase, Transferring) and phase.heir == vm_id:
             self.node.leave_transfer(record, AuditEvent.HAND_OVER_UNRESOLVED, 0)
-            record.granted[vm_id] = Grant(incarnation, 0, phase.list_version)
+            self.node.add_grant(record, vm_id, Grant(incarnation, 0, phase.list_version))
         if isinstance(phase, Holding) and phase.heir == vm_id:
             phase.offer_id = 0
         if record.expected is not None and record.expected.sender == vm_id:
