Probe only VMs that own calls failed to reach

Cause: every daemon probed a leaving VM that was not its neighbour, so its replies grew with the fleet. The new test bounds the bytes of each VM at both sizes. Ruled out: a slower probe (still grows); the digest of notices corrects a stale notice instead.

--- a/libs/membership/src/wisteria_membership/machine.py
+++ b/libs/membership/src/wisteria_membership/machine.py
@@ -352,8 +352,8 @@
         doubtful = [
             record
             for record in map(self.records.__getitem__, sorted(self._watched))
-            if record.status is not Status.LIVE
-            and not record.leaves_by_list
+            if record.call_failures >= self.config.call_failures
+            and record.status is Status.UNREACHABLE
             and record.vm_id not in self._neighbours
             and now_ms >= record.due_ms
         ]
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -13,7 +13,9 @@
     StatusChanged,
     describe,
 )
+from wisteria_membership.const import BURST_S
 from wisteria_membership.rumours import Rumours
+from wisteria_membership.sizes import estimate_bytes
 
 from .fleet import STEP_MS, Fleet, make_vm
 
@@ -145,3 +147,16 @@
     fleet.publish(tuple(vm for vm in fleet.vm_list if vm.vm_id != removed))
     moved = [v for v, m in fleet.machines.items() if set(m.neighbours()) != before[v]]
     assert len(moved) <= 24
+
+
+def test_news_of_a_leaving_vm_stays_within_the_budget_whatever_the_size() -> None:
+    for size in (60, 240):
+        fleet = Fleet.of_size(size)
+        fleet.run(8_000)
+        fleet.sent.clear()
+        for number in range(0, size, 20):
+            leaver = VmId(f"vm-{number:04}")
+            fleet.carry_out(leaver, fleet.machines[leaver].begin_leave(fleet.now_ms))
+        fleet.run(8_000)
+        sent = [sum(estimate_bytes(message) for _, message in item) for item in fleet.sent.values()]
+        assert max(sent) <= CONFIG.bytes_per_s * (8 + BURST_S)
