--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -10,7 +10,7 @@
 from .config import LimitsConfig
 from .const import MOST_DOUBLINGS, OVERASK, SLICES_PER_DOMAIN
 from .demand import Demand
-from .lenders import Lenders
+from .lenders import Lender, Lenders
 from .loans import HeldLoan
 from .models import (
     AccountRate,
@@ -60,6 +60,7 @@
     config: LimitsConfig = attrs.field(factory=LimitsConfig)
     _accounts: dict[str, BorrowingAccount] = attrs.field(factory=dict, init=False)
     _account_of: dict[int, str] = attrs.field(factory=dict, init=False)
+    _lenders_of: dict[VmId, list[Lender]] = attrs.field(factory=dict, init=False)
     _asked: dict[int, _Asked] = attrs.field(factory=dict, init=False)
     _next_id: int = attrs.field(default=1, init=False)
     _next_round_ms: int = attrs.field(default=0, init=False)
@@ -89,6 +90,7 @@
             account.lenders.configure(now_ms, shares)
             self._accounts[rate.account] = account
             self._account_of.update(dict.fromkeys(account.lenders.by_key, rate.account))
+        self._index_lenders()
         return tuple(
             Decided(waiter_id, _refuse_unknown(account.rate.account))
             for account in earlier.values()
@@ -104,6 +106,7 @@
                 if vm_id != lender.vm_id:
                     lender.vm_id = vm_id
                     lender.note_reply()
+        self._index_lenders()
 
     def admit(self, now_ms: int, account: str) -> Admitted | Pending | Refusal:
         """Decide one call at its entry.
@@ -150,6 +153,8 @@
         if asked is None or asked.vm_id != vm_id:
             return ()
         del self._asked[reply.request_id]
+        for lender in self._lenders_of.get(vm_id, ()):
+            lender.note_reply()
         expires_ms = asked.sent_ms + self.config.lease_ms
         touched: dict[str, BorrowingAccount] = {}
         for grant in reply.grants:
@@ -159,7 +164,6 @@
             touched[account.rate.account] = account
             pending_milli = 0 if asked.timed_out else asked.items[grant.slice_key]
             lender = account.lenders.end_asking(grant.slice_key, pending_milli)
-            lender.note_reply()
             if not grant.held:
                 lender.note_silence(now_ms, self.config)
             account.round_granted_milli += grant.granted_milli
@@ -218,6 +222,13 @@
             Demand(self.config, now_ms),
         )
 
+    def _index_lenders(self) -> None:
+        self._lenders_of = {}
+        for account in self._accounts.values():
+            for lender in account.lenders.by_key.values():
+                if lender.vm_id is not None:
+                    self._lenders_of.setdefault(lender.vm_id, []).append(lender)
+
     def _find(self, slice_key: int) -> BorrowingAccount | None:
         name = self._account_of.get(slice_key)
         return None if name is None else self._accounts[name]
@@ -305,9 +316,9 @@
             account = self._find(slice_key)
             if account is None:
                 continue
-            lender = account.lenders.end_asking(slice_key, amount)
-            if lender.vm_id == asked.vm_id:
-                lender.note_silence(now_ms, self.config)
+            account.lenders.end_asking(slice_key, amount)
+        for lender in self._lenders_of.get(asked.vm_id, ()):
+            lender.note_silence(now_ms, self.config)
 
 
 def _refuse_unknown(account: str) -> Refusal:
--- a/libs/limits/src/wisteria_limits/demand.py
+++ b/libs/limits/src/wisteria_limits/demand.py
@@ -27,7 +27,9 @@
     _arrived_milli: int = 0
 
     def add(self, now_ms: int, amount_milli: int) -> None:
-        """Count an arrival."""
+        """Count an arrival; the first after a pause begins a new interval."""
+        if not self._arrived_milli:
+            self.update(now_ms)
         self._arrived_milli += amount_milli
         self.last_arrival_ms = now_ms
 
--- a/libs/limits/src/wisteria_limits/lenders.py
+++ b/libs/limits/src/wisteria_limits/lenders.py
@@ -80,6 +80,8 @@
 
     def note_silence(self, now_ms: int, config: LimitsConfig) -> None:
         """Leave the owner alone for a while, twice as long as the last time."""
+        if self.silent_until_ms is not None and self.silent_until_ms > now_ms:
+            return
         doubled = max(2 * self.silence_ms, config.silence_retry_ms)
         self.silence_ms = min(doubled, config.silence_retry_max_ms)
         self.silent_until_ms = now_ms + self.silence_ms
