Ask a VM that does not own a slice again after 250 ms

Cause: 'not held' was counted like silence and doubled up to 4 s, so a fleet that starts cold stayed shut for seconds after its slices had owners (found by reading; the test covers it).

--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -165,7 +165,7 @@
             pending_milli = 0 if asked.timed_out else asked.items[grant.slice_key]
             lender = account.lenders.end_asking(grant.slice_key, pending_milli)
             if not grant.held:
-                lender.note_silence(now_ms, self.config)
+                lender.note_not_held(now_ms, self.config)
             account.round_granted_milli += grant.granted_milli
             lender.note_grant(
                 now_ms, asked.items[grant.slice_key], grant.granted_milli, grant.left_milli
--- a/libs/limits/src/wisteria_limits/lenders.py
+++ b/libs/limits/src/wisteria_limits/lenders.py
@@ -86,6 +86,10 @@
         self.silence_ms = min(doubled, config.silence_retry_max_ms)
         self.silent_until_ms = now_ms + self.silence_ms
 
+    def note_not_held(self, now_ms: int, config: LimitsConfig) -> None:
+        """Leave the slice alone for a short while: its VM replies and does not own it (yet)."""
+        self.silent_until_ms = now_ms + config.silence_retry_ms
+
     def note_reply(self) -> None:
         """Take the owner as present."""
         self.silent_until_ms = None
--- a/tests/limits/test_session.py
+++ b/tests/limits/test_session.py
@@ -161,3 +161,22 @@
     assert len(code.group(1).splitlines()) <= 30
     exec(code.group(1), {})
     assert capsys.readouterr().out == "refused\n"
+
+
+def test_a_cold_start_opens_soon_after_the_owners_start() -> None:
+    session = Session()
+    session.owner.drop_all()
+    for now_ms in range(0, 3_000, 20):
+        session.budget.admit(now_ms, "farm")
+        session.tick(now_ms)
+    refused = session.budget.admit(3_000, "farm")
+    assert isinstance(refused, Refusal)
+    assert refused.code is ResultCode.RATE_UNAVAILABLE
+    for slice_id in session.shares:
+        session.owner.start(3_000, slice_id)
+    session.lines.clear()
+    for now_ms in range(3_000, 3_400, 20):
+        session.admit(now_ms, 1)
+        session.tick(now_ms)
+    admitted = [line for line in session.lines if "decided admitted" in line or "1 Admit" in line]
+    assert int(admitted[0].split()[0]) <= 3_300
