Drive membership from links, calls and heartbeats; bound the search for stray keys

Cause: a VM counted as usable until the list said otherwise; scanning a megabyte of words for keys would hold the loop for 100 ms (about 1 us a digest). At most 512 words of a request are looked up; the caller's own key is searched in all of it. Not proved: a foreign key beyond the first 512 words of a body.

--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream
 
-from wisteria_config import Document
+from wisteria_config import Document, document_digest
 from wisteria_core import Clock, Refusal, ResultCode, VmList
 from wisteria_wire import CallHead, Link, ServedCall
 from wisteria_wire.models import FrameFault
@@ -109,6 +109,7 @@
         """Keep the link of an authenticated peer."""
         assert link.peer is not None
         self.shared.links.add(link)
+        self.shared.peers.note_link(link.peer.vm_id, is_open=True)
         self.shared.slots.note_reachable(link.peer.vm_id, True)
         self.shared.fleet.refresh()
         return True
@@ -130,6 +131,7 @@
         if link.peer is None or self.shared.links.find(link.peer.vm_id) is not None:
             return
         _LOGGER.info("link_closed", extra={"peer": link.peer.vm_id, "reason": reason})
+        self.shared.peers.note_link(link.peer.vm_id, is_open=False)
         self.shared.rates.note_link_lost(link.peer.vm_id)
         self.shared.fleet.refresh()
 
@@ -161,6 +163,7 @@
             self.gaps.run,
             self.path.serving.run_ticks,
             self.shared.rates.run_ticks,
+            self.shared.peers.run_ticks,
             self.shared.slots.run_ticks,
             self.path.health.run,
             self.shared.configuration.run,
@@ -178,6 +181,7 @@
         """Refuse new work, hand slots over, let calls in flight end."""
         self.path.entry.is_stopping = True
         self.path.serving.begin_stop()
+        self.shared.peers.set_leaving(True)
         self.shared.slots.begin_stop()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
         with anyio.move_on_after(self.settings.timing.stop_limit_ms / _MS_PER_S):
@@ -229,6 +233,7 @@
         if self.vm_list is not None and vm_list.version < self.vm_list.version:
             return
         self.vm_list = vm_list
+        self.shared.peers.apply_list(vm_list)
         self.shared.fleet.apply_list(vm_list)
         self.shared.configuration.apply_list(vm_list)
         self.shared.slots.apply_list(vm_list, requested_at_ms)
@@ -254,6 +259,7 @@
 
     def _put_in_force(self, document: Document) -> None:
         self.shared.fleet.apply_document(document)
+        self.shared.peers.membership.set_config(document.version, document_digest(document))
         ended = self.path.entry.end_withdrawn(document)
         ended += self.path.serving.end_withdrawn(document)
         if ended:
--- a/libs/daemon/src/wisteriaproxy/control/control.capnp
+++ b/libs/daemon/src/wisteriaproxy/control/control.capnp
@@ -114,6 +114,28 @@
   claimId @5 :Int64;
 }
 
+struct Heartbeat {
+  sequence @0 :Int64;
+  listVersion @1 :Int64;
+  configVersion @2 :Int64;
+  configDigest @3 :Data;
+  isLeaving @4 :Bool;
+  stalledMs @5 :Int64;
+  noticesDigest @6 :Int64;
+  news @7 :List(News);
+}
+
+struct HeartbeatReply {
+  sequence @0 :Int64;
+  listVersion @1 :Int64;
+  configVersion @2 :Int64;
+  configDigest @3 :Data;
+  isLeaving @4 :Bool;
+  stalledMs @5 :Int64;
+  noticesDigest @6 :Int64;
+  news @7 :List(News);
+}
+
 struct Hello {
   helloId @0 :Int64;
   listVersion @1 :Int64;
@@ -135,6 +157,15 @@
   returnedMilli @3 :Int64;
 }
 
+struct News {
+  kind @0 :Text;
+  subject @1 :Text;
+  incarnation @2 :Int64;
+  origin @3 :Text;
+  originIncarnation @4 :Int64;
+  counter @5 :Int64;
+}
+
 struct Offer {
   offerId @0 :Int64;
   listVersion @1 :Int64;
--- a/libs/daemon/src/wisteriaproxy/control/kinds.py
+++ b/libs/daemon/src/wisteriaproxy/control/kinds.py
@@ -11,6 +11,7 @@
 )
 from wisteria_ledger import RunEnded
 from wisteria_limits import BorrowReply, BorrowRequest
+from wisteria_membership import Heartbeat, HeartbeatReply
 from wisteria_ownership import (
     Claim,
     ClaimReply,
@@ -45,5 +46,7 @@
     30: CrashReport,
     31: SuspicionCleared,
     40: RunEnded,
+    50: Heartbeat,
+    51: HeartbeatReply,
 }
 NUMBERS: dict[type[Any], int] = {cls: number for number, cls in KINDS.items()}
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -31,7 +31,6 @@
     is_usable: Callable[[VmId], bool]
     is_connected: Callable[[VmId], bool]
     vm_list: VmList | None = None
-    _leaving: set[VmId] = attrs.field(factory=set)
     _vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _choosers: dict[str, Chooser] = attrs.field(factory=dict)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
@@ -81,23 +80,13 @@
             if chooser is not None:
                 chooser.config = attrs.evolve(chooser.config, max_in_flight=service.connections_max)
 
-    def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
-        """Take in whether the daemon of a VM says that it takes no new work."""
-        if (vm_id in self._leaving) is is_leaving:
-            return
-        if is_leaving:
-            self._leaving.add(vm_id)
-        else:
-            self._leaving.discard(vm_id)
-        self.refresh()
-
     def refresh(self) -> None:
         """Pass the present view of each VM to the choosers."""
         if self.vm_list is None:
             return
         candidates: dict[str, list[Candidate]] = {service: [] for service in self._choosers}
         for vm in self.vm_list:
-            usable = self._is_usable(vm)
+            usable = vm.state is VmState.LIVE and self.is_usable(vm.vm_id)
             connected = self.is_connected(vm.vm_id)
             candidates[vm.service].append(Candidate(vm.vm_id, vm.failure_domain, usable, connected))
         now_ms = self.clock.now_ms()
@@ -107,8 +96,3 @@
     def _make_chooser(self, service: str) -> Chooser:
         config = ChooserConfig(max_in_flight=self._connections.get(service, MAX_IN_FLIGHT))
         return Chooser(self.failure_domain, self.random, config)
-
-    def _is_usable(self, vm: Vm) -> bool:
-        if vm.state is not VmState.LIVE or vm.vm_id in self._leaving:
-            return False
-        return self.is_usable(vm.vm_id)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -26,6 +26,7 @@
 from .answers import head_to_refusal, refusal_to_head
 from .fleet import FleetView
 from .metrics import RETRIES, Counts
+from .peers import PeerTable
 from .responders import LocalCall, Reply
 
 _LOGGER = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
     """
 
     fleet: FleetView
+    peers: PeerTable
     links: LinkPool
     clock: Clock
     random: Random
@@ -202,10 +204,12 @@
             answer = reply if isinstance(reply, Refusal) else await reply.wait_answer()
             if isinstance(answer, Refusal):
                 outcome = CallOutcome.LINK_LOST
+                self.forwarder.peers.note_call(vm_id, was_reached=False)
                 self._settle_lost(answer, lent)
                 return Forwarded(refusal_to_head(answer), None, vm_id, self.retries)
             outcome = _judge(answer)
-            self.forwarder.fleet.note_leaving(vm_id, answer.leaving)
+            self.forwarder.peers.note_leaving(vm_id, answer.leaving)
+            self.forwarder.peers.note_call(vm_id, was_reached=True)
             load = ServerLoad(answer.in_flight, 0, answer.limit)
             self.allowance.settle(self._loan_id, lent - answer.spent)
             self.retries += answer.spent
--- a/libs/daemon/src/wisteriaproxy/health.py
+++ b/libs/daemon/src/wisteriaproxy/health.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -21,11 +22,18 @@
 
 @attrs.define(eq=False)
 class HealthPoller:
-    """Notices a backend server that drains, and that no longer does."""
+    """Notices a backend server that drains, and that no longer does.
+
+    Parameters
+    ----------
+    on_drain : callable
+        Called with whether the backend server drains, when that changes.
+    """
 
     backend: BackendServer
     serving: ServingPort
     poll_ms: int
+    on_drain: Callable[[bool], None]
     is_reachable: bool = False
 
     async def run(self) -> None:
@@ -49,6 +57,7 @@
         if draining == self.serving.is_draining:
             return
         self.serving.is_draining = draining
+        self.on_drain(draining)
         _LOGGER.info("backend_server_drain", extra={"draining": draining})
 
 
--- a/libs/daemon/src/wisteriaproxy/identify.py
+++ b/libs/daemon/src/wisteriaproxy/identify.py
@@ -1,6 +1,8 @@
 """Who makes a call: the client account of a key, the parent call of a token, or the public."""
 
 import re
+from collections.abc import Iterator
+from itertools import islice
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -14,9 +16,16 @@
 
 MIN_KEY_CHARS = 8
 MAX_KEY_CHARS = 512
+# each word costs a digest of about 1 us; the caller's own key is looked for without bound
+MAX_SCANNED_WORDS = 512
+MAX_SCANNED_BODY_BYTES = 65_536
 _WORD = re.compile(rb"[A-Za-z0-9_.~+/=:-]{%d,%d}" % (MIN_KEY_CHARS, MAX_KEY_CHARS))
 _SEPARATORS = re.compile(rb"[/=:.~+]")
 
+STRAY_KEY = Refusal(
+    ResultCode.BAD_REQUEST, "a key may stand in the Authorization header and nowhere else"
+)
+
 
 @attrs.frozen(eq=False)
 class Caller:
@@ -97,27 +106,24 @@
         if name not in (HEADER_AUTHORIZATION, HEADER_CALL_TOKEN)
     ]
     target = request.target.encode("latin-1", "replace")
-    texts += [target, request.body]
+    texts += [target, request.body[:MAX_SCANNED_BODY_BYTES]]
     if b"%" in target:
         texts.append(unquote_to_bytes(target))
     presented = (request.find_header(HEADER_AUTHORIZATION) or "")[len(BEARER_PREFIX) :].strip()
     own = presented.encode("latin-1", "replace")
-    if any((own and own in text) or _holds_key(document, text) for text in texts):
-        return Refusal(
-            ResultCode.BAD_REQUEST, "a key may stand in the Authorization header and nowhere else"
-        )
-    return None
-
+    if own and (own in request.body or any(own in text for text in texts)):
+        return STRAY_KEY
+    words = islice((word for text in texts for word in _split_words(text)), MAX_SCANNED_WORDS)
+    return STRAY_KEY if any(_is_key(document, word) for word in words) else None
 
-def _holds_key(document: Document, text: bytes) -> bool:
-    """Return whether a word of `text`, whole or cut at separators, is a key.
 
-    Words shorter than ``MIN_KEY_CHARS`` are passed over: hashing each would cost more than
-    the rest of the entry side.
-    """
+def _split_words(text: bytes) -> Iterator[bytes]:
+    """Yield the words of `text` that are long enough for a key, whole and cut at separators."""
     for word in _WORD.findall(text):
-        parts = {word, *_SEPARATORS.split(word)} if _SEPARATORS.search(word) else {word}
-        for part in parts:
-            if len(part) >= MIN_KEY_CHARS and document.find_key(part.decode()) is not None:
-                return True
-    return False
+        yield word
+        if _SEPARATORS.search(word):
+            yield from (part for part in _SEPARATORS.split(word) if len(part) >= MIN_KEY_CHARS)
+
+
+def _is_key(document: Document, word: bytes) -> bool:
+    return document.find_key(word.decode()) is not None
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -26,6 +26,7 @@
 from wisteria_core import Clock, FailureDomain, Refusal, VmId
 from wisteria_ledger import Ledger, RunEnded
 from wisteria_limits import AccountBudget, BorrowReply, BorrowRequest, LimitsConfig, SliceOwner
+from wisteria_membership import Heartbeat, HeartbeatReply, Membership, Status
 from wisteria_ownership import (
     Claim,
     ClaimReply,
@@ -57,6 +58,7 @@
 from .metrics import Metrics
 from .once import OnceOwner
 from .once_router import OnceRouter
+from .peers import PeerTable
 from .platform import PlatformClient
 from .rates import Rates
 from .responders import LocalCall
@@ -101,6 +103,7 @@
     links: LinkPool
     fleet: FleetView
     control: ControlPlane
+    peers: PeerTable
     configuration: ConfigurationKeeper
     slots: SlotTable
     rates: Rates
@@ -134,13 +137,22 @@
         identity.failure_domain,
         identity.random,
         clock,
-        is_usable=lambda vm_id: True,
+        is_usable=lambda vm_id: peers.is_usable(vm_id),
         is_connected=lambda vm_id: vm_id == identity.vm_id or links.find(vm_id) is not None,
     )
     control = ControlPlane(
         identity.vm_id, identity.incarnation, links, identity.tasks, fleet.find_vm
     )
     slots, rates = _build_slots(identity, control)
+    peers = PeerTable(
+        Membership(identity.vm_id, identity.incarnation, clock.now_ms()),
+        clock,
+        identity.audit,
+        control.send,
+        on_change=lambda vm_id, status: _pass_on_status(fleet, slots, vm_id, status),
+        on_list_version=slots.note_list_version,
+    )
+    control.register(peers.handle, Heartbeat, HeartbeatReply)
     configuration = ConfigurationKeeper(
         Disseminator(identity.vm_id, identity.failure_domain, identity.incarnation),
         client,
@@ -154,7 +166,12 @@
         configuration.handle,
         *(VersionQuery, VersionAnnounce, DocumentFetch, DocumentDelta, DocumentChunk),
     )
-    return SharedParts(links, fleet, control, configuration, slots, rates)
+    return SharedParts(links, fleet, control, peers, configuration, slots, rates)
+
+
+def _pass_on_status(fleet: FleetView, slots: SlotTable, vm_id: VmId, status: Status) -> None:
+    fleet.refresh()
+    slots.note_reachable(vm_id, status in (Status.LIVE, Status.LEAVING))
 
 
 def _build_slots(identity: Identity, control: ControlPlane) -> tuple[SlotTable, Rates]:
@@ -231,7 +248,13 @@
         identity.tasks.start_soon(once.serve, call, head)
 
     forwarder = Forwarder(
-        shared.fleet, shared.links, clock, identity.random, identity.vm_id, serve_locally
+        shared.fleet,
+        shared.peers,
+        shared.links,
+        clock,
+        identity.random,
+        identity.vm_id,
+        serve_locally,
     )
     once = OnceOwner(
         ledger=Ledger(),
@@ -258,7 +281,9 @@
     )
     return CallParts(
         backend=backend,
-        health=HealthPoller(backend, serving, settings.timing.poll_ms),
+        health=HealthPoller(
+            backend, serving, settings.timing.poll_ms, on_drain=shared.peers.set_leaving
+        ),
         serving=serving,
         once=once,
         entry=entry,
--- a/libs/daemon/src/wisteriaproxy/slots.py
+++ b/libs/daemon/src/wisteriaproxy/slots.py
@@ -117,6 +117,10 @@
         """Tell ownership that the loop runs, so that a gap is noticed now."""
         self._carry_out(self.ownership.note_progress(self.clock.now_ms()))
 
+    def note_list_version(self, version: int) -> None:
+        """Take in the highest version of the list that any daemon has read."""
+        self._carry_out(self.ownership.note_list_version(self.clock.now_ms(), version))
+
     def begin_stop(self) -> None:
         """Hand every slot over."""
         self._carry_out(self.ownership.begin_stop(self.clock.now_ms()))
