--- a/tests/faults/support.py
+++ b/tests/faults/support.py
@@ -59,10 +59,19 @@
 async def wait_served(fleet: Fleet, path: str, plan: AccountPlan = ACCOUNT) -> None:
     """Wait until every daemon answers calls of an account."""
 
+    answers: list[tuple[str, str]] = []
+
     async def is_served() -> bool:
-        return all([(await ask(fleet, vm_id, path, plan)).status == 200 for vm_id in fleet.daemons])
+        answers.clear()
+        for vm_id in fleet.daemons:
+            answer = await ask(fleet, vm_id, path, plan)
+            answers.append((vm_id, read_code(answer) or answer.error))
+        return {code for _, code in answers} == {"0"}
 
-    await wait_for(is_served, f"{path} answered through every daemon")
+    try:
+        await wait_for(is_served, f"{path} answered through every daemon")
+    except AssertionError as error:
+        raise AssertionError(f"{path} through every daemon: {answers}") from error
 
 
 async def audit(fleet: Fleet, vm_id: str) -> str:
