Offer exactly the stated load in the bench; fit level and descent to queue and latency

Cause: the bench cut arrival times to whole milliseconds, so the heavy account sent 40% more than stated at 4x and far more at 8x. With calls of 8 ms the queue was full before the target wait, so the level never fell and urgent calls met a full queue; with calls of 300 ms a step of a descent ended before any call of it had.

--- a/libs/admission/src/wisteria_admission/descents.py
+++ b/libs/admission/src/wisteria_admission/descents.py
@@ -12,14 +12,19 @@
 """Length that a step must have, as a multiple of its mean latency."""
 
 STEP_MAX_MS = 600
-"""Longest step of a descent."""
+STEP_MAX_LATENCIES = 2.0
+"""Longest step of a descent: the longer of a time and a multiple of the latency before."""
 
 
 @attrs.define
 class Step:
-    """One step of a descent: the calls that started and ended under one limit."""
+    """One step of a descent: the calls that started and ended under one limit.
+
+    `expected_ms` is the latency before the step.
+    """
 
     started_ms: int
+    expected_ms: float
     ended: int = 0
     latency_sum_ms: int = 0
     running_sum: int = 0
@@ -42,7 +47,7 @@
     def is_over(self, now_ms: int) -> bool:
         """Return whether the mean can be trusted, or has taken too long to come."""
         elapsed_ms = now_ms - self.started_ms
-        if elapsed_ms >= STEP_MAX_MS:
+        if elapsed_ms >= max(STEP_MAX_MS, STEP_MAX_LATENCIES * self.expected_ms):
             return True
         return self.ended >= STEP_SAMPLES and elapsed_ms >= STEP_LATENCIES * self.mean_ms()
 
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -306,7 +306,9 @@
         wait_ms = self._wait_ms(now_ms, self._short, len(queue))
         urgent_ms = self._wait_ms(now_ms, self._short, queue.size_of(Priority.URGENT))
         idle = not queue and self._may_start(self._short, Priority.NORMAL)
-        self._level.update(now_ms, self._times.overall_ms(now_ms), wait_ms, urgent_ms, idle)
+        full_ms = self._wait_ms(now_ms, self._short, self.slots * self.config.queue_per_slot)
+        run_ms = self._times.overall_ms(now_ms)
+        self._level.update(now_ms, run_ms, full_ms, wait_ms, urgent_ms, idle)
         self._shares.update(now_ms, len(queue) > 0 or self._level.threshold < RANK_COUNT)
 
     def _run_ms(self, now_ms: int, ticket: Ticket) -> float:
--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -45,7 +45,13 @@
         self._ranks.append(rank)
 
     def update(
-        self, now_ms: int, run_ms: float, wait_ms: float, urgent_wait_ms: float, idle: bool
+        self,
+        now_ms: int,
+        run_ms: float,
+        full_ms: float,
+        wait_ms: float,
+        urgent_wait_ms: float,
+        idle: bool,
     ) -> None:
         """Adjust the threshold when an interval has passed.
 
@@ -55,6 +61,8 @@
             Present time.
         run_ms : float
             Expected run time of a call.
+        full_ms : float
+            Expected wait behind a full queue; half of it bounds the target.
         wait_ms : float
             Expected wait of a newcomer behind everything that is queued.
         urgent_wait_ms : float
@@ -67,7 +75,7 @@
             return
         self._updated_ms = now_ms
         wait_ms, self._least_wait_ms = self._least_wait_ms, math.inf
-        target_ms = max(float(self.config.target_wait_ms), run_ms)
+        target_ms = min(max(float(self.config.target_wait_ms), run_ms), full_ms / 2.0)
         if wait_ms > target_ms:
             sheds_urgent = urgent_wait_ms > self.config.urgent_factor * target_ms
             self._cut(wait_ms / target_ms, 0 if sheds_urgent else RANKS_PER_PRIORITY)
--- a/libs/admission/src/wisteria_admission/limiters.py
+++ b/libs/admission/src/wisteria_admission/limiters.py
@@ -176,7 +176,7 @@
             self._cut_from = self._cut_from or before
             far = self._is_too_long(latency_ms / FAR_TOO_LONG)
             if far or at_floor or self._limit <= DESCENT_DEPTH * self._cut_from:
-                self._descent = Descent(self._cut_from, Step(now_ms))
+                self._descent = Descent(self._cut_from, Step(now_ms, latency_ms))
 
     def _advance_descent(self, now_ms: int, descent: Descent) -> None:
         """Judge the present step once it is over; go one down, or end the descent."""
@@ -191,7 +191,7 @@
         elif self._limit > self._floor():
             self._limit *= self._cut_factor(step.mean_ms(), DESCENT_STEP)
             self._clamp()
-            descent.first, descent.step = descent.first or step, Step(now_ms)
+            descent.first, descent.step = descent.first or step, Step(now_ms, step.mean_ms())
             return
         elif step.ended:
             # the floor is the least that calls can be given room: they take as long as this
--- a/script/tools/bench_admission_simulation.py
+++ b/script/tools/bench_admission_simulation.py
@@ -217,7 +217,10 @@
     def arrivals_of(self, account: str) -> Callable[[int], None]:
         """Return the arrival process of one account; one account surges alone first."""
 
+        next_ms = 0.0
+
         def arrive(now_ms: int) -> None:
+            nonlocal next_ms
             self.begin(now_ms, account)
             surge = WARM_MS <= now_ms < WARM_MS + SURGE_MS
             load = self.scenario.load if surge else 1
@@ -225,7 +228,8 @@
             if surge and load > 1:
                 weight = 5 if account == SURGING_ACCOUNT else 1
                 share *= weight * ACCOUNTS / (ACCOUNTS + 4)
-            self.at(now_ms + self.random.expovariate(share), arrive)
+            next_ms += self.random.expovariate(share)
+            self.at(next_ms, arrive)
 
         return arrive
 
