Probe a silent VM that is no neighbour any more

Cause: a change of the list moved a silent neighbour out of the neighbours, and nothing tried it again.

--- a/libs/membership/src/wisteria_membership/machine.py
+++ b/libs/membership/src/wisteria_membership/machine.py
@@ -354,8 +354,7 @@
         doubtful = [
             record
             for record in map(self.records.__getitem__, sorted(self._watched))
-            if record.call_failures >= self.config.call_failures
-            and record.status is Status.UNREACHABLE
+            if self._has_own_evidence(record)
             and record.vm_id not in self._neighbours
             and now_ms >= record.due_ms
         ]
@@ -363,6 +362,10 @@
         for record in doubtful[: self.config.probes]:
             self._send_heartbeat(now_ms, record)
 
+    def _has_own_evidence(self, record: PeerRecord) -> bool:
+        is_silent = record.unanswered >= self.config.misses
+        return is_silent or record.call_failures >= self.config.call_failures
+
     def _send_reply(self, now_ms: int, sender: VmId, heartbeat: Heartbeat) -> None:
         self._send(now_ms, sender, HeartbeatReply, heartbeat.sequence)
 
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -160,3 +160,16 @@
         fleet.run(8_000)
         sent = [sum(estimate_bytes(message) for _, message in item) for item in fleet.sent.values()]
         assert max(sent) <= CONFIG.bytes_per_s * (8 + BURST_S)
+
+
+def test_silent_vm_that_is_no_neighbour_any_more_is_probed() -> None:
+    fleet = Fleet.of_size(12)
+    machine = next(iter(fleet.machines.values()))
+    silent = machine.neighbours()[0]
+    fleet.paused.add(silent)
+    fleet.run(SILENCE_MS)
+    assert not machine.usable(silent)
+    machine._neighbours = tuple(v for v in machine.neighbours() if v != silent)
+    fleet.paused.clear()
+    fleet.run(2 * CONFIG.interval_ms + CONFIG.stall_hold_ms)
+    assert machine.usable(silent)
