--- a/libs/ownership/src/wisteria_ownership/claims.py
+++ b/libs/ownership/src/wisteria_ownership/claims.py
@@ -146,6 +146,8 @@
         """Ask VMs that are new to the list, and drop those that are gone."""
         node = self.node
         node.prune_grants(record)
+        if not isinstance(record.phase, Claiming | Waiting):
+            return
         others = node.others(record.slot.scope)
         match record.phase:
             case Claiming() as phase:
--- a/libs/ownership/src/wisteria_ownership/roster.py
+++ b/libs/ownership/src/wisteria_ownership/roster.py
@@ -5,7 +5,7 @@
 from wisteria_core import Vm, VmId, VmList, VmState, rendezvous_weight
 
 from .const import NO_VERSION
-from .messages import Scope, SlotId
+from .messages import Scope, SlotId, domain_scope, service_scope
 
 
 def outranks(slot: SlotId, one: VmId, other: VmId) -> bool:
@@ -41,7 +41,7 @@
         before = self.vms
         self.vms = {vm.vm_id: vm for vm in vm_list}
         self.version = vm_list.version
-        self._members.clear()
+        self._members = _index_by_scope(self.vms)
         self._live.clear()
         change = RosterChange(
             joined=frozenset(self.vms.keys() - before.keys()),
@@ -55,11 +55,7 @@
 
     def members(self, scope: Scope) -> frozenset[VmId]:
         """Return live and leaving VMs of the scope."""
-        found = self._members.get(scope)
-        if found is None:
-            found = frozenset(vm.vm_id for vm in self.vms.values() if scope.includes(vm))
-            self._members[scope] = found
-        return found
+        return self._members.get(scope, frozenset())
 
     def is_live(self, vm_id: VmId) -> bool:
         """Return whether the list names the VM as live."""
@@ -103,3 +99,12 @@
                 if slot.scope.includes(self.vms[vm_id]) and self.is_live(vm_id):
                     first = first if outranks(slot, first, vm_id) else vm_id
             self._first[slot] = first
+
+
+def _index_by_scope(vms: dict[VmId, Vm]) -> dict[Scope, frozenset[VmId]]:
+    """Return the members of every scope that has any, in one pass over the list."""
+    found: dict[Scope, set[VmId]] = {}
+    for vm in vms.values():
+        for scope in (domain_scope(vm.failure_domain), service_scope(vm.service)):
+            found.setdefault(scope, set()).add(vm.vm_id)
+    return {scope: frozenset(members) for scope, members in found.items()}
