--- a/libs/ledger/src/wisteria_ledger/ledger.py
+++ b/libs/ledger/src/wisteria_ledger/ledger.py
@@ -47,7 +47,7 @@
     def start(
         self, now_ms: int, wall_ms: int, slot: LedgerSlotId, payload: bytes | None = None
     ) -> None:
-        """Begin to decide for a slot.
+        """Begin to decide for a slot; one that is held already stays as it is.
 
         Parameters
         ----------
@@ -63,6 +63,8 @@
         ValueError
             If the payload cannot be read; the slot is not held then.
         """
+        if slot in self._held:
+            return
         if payload is None:
             until_ms = now_ms + self.config.retention_ms
             self._held[slot] = _Held(wall_ms + self.config.birth_margin_ms, until_ms)
--- a/libs/limits/src/wisteria_limits/budget.py
+++ b/libs/limits/src/wisteria_limits/budget.py
@@ -253,7 +253,7 @@
         wish = account.wish(now_ms)
         if not wish.needed_milli and not (round_due and wish.reserve_milli):
             return
-        preferred = items.keys() | account.loans.owners_to_report()
+        preferred = items.keys() | set(account.loans.owners_to_report())
         asked_before = account.lenders.asked_milli
         overask = OVERASK << min(account.judge_round(now_ms), MOST_DOUBLINGS)
         chosen = account.lenders.choose(
--- a/libs/limits/src/wisteria_limits/loans.py
+++ b/libs/limits/src/wisteria_limits/loans.py
@@ -117,9 +117,10 @@
             self.total_milli -= loan.remaining_milli
             self.unreported_milli -= loan.unreported_milli
 
-    def owners_to_report(self) -> set[VmId]:
-        """Return the owners that have a report due."""
-        return {loan.vm_id for loan in self._loans.values() if loan.unreported_milli}
+    def owners_to_report(self) -> list[VmId]:
+        """Return the owners that have a report due, that of the oldest loan first."""
+        due = (loan.vm_id for loan in self._loans.values() if loan.unreported_milli)
+        return list(dict.fromkeys(due))
 
     def take_reports(self, vm_id: VmId) -> tuple[LoanReport, ...]:
         """Return the reports due to one owner and forget the loans that are used up."""
--- a/libs/limits/src/wisteria_limits/owner.py
+++ b/libs/limits/src/wisteria_limits/owner.py
@@ -26,19 +26,24 @@
     _shares: dict[SliceId, SliceShare] = attrs.field(factory=dict, init=False)
     _buckets: dict[int, SliceBucket] = attrs.field(factory=dict, init=False)
     _held: dict[SliceId, int] = attrs.field(factory=dict, init=False)
+    _withdrawn_ms: dict[SliceId, int] = attrs.field(factory=dict, init=False)
 
     def configure(self, now_ms: int, shares: Mapping[SliceId, SliceShare]) -> None:
-        """Put the shares of a configuration version in force; a slice that it lacks is dropped."""
+        """Put the shares of a configuration version in force; a slice that it lacks is dropped.
+
+        When a later version names that slice again it refills only after its loans have ended.
+        """
         self._shares = dict(shares)
         for slice_id in list(self._held):
             share = shares.get(slice_id)
             if share is None:
                 self.drop(slice_id)
+                self._withdrawn_ms[slice_id] = now_ms
                 continue
             self._buckets[slice_id.key].change_share(now_ms, share)
 
     def start(self, now_ms: int, slice_id: SliceId, payload: bytes | None = None) -> bool:
-        """Begin to lend from a slice.
+        """Begin to lend from a slice; one that is held already stays as it is.
 
         Parameters
         ----------
@@ -57,8 +62,10 @@
         share = self._shares.get(slice_id)
         if share is None:
             return False
+        if slice_id in self._held:
+            return True
         if payload is None:
-            bucket = SliceBucket(share, self.config, refilled_ms=now_ms)
+            bucket = SliceBucket(share, self.config, self._refill_from_ms(now_ms, slice_id))
         else:
             bucket = SliceBucket.from_bytes(now_ms, payload, share, self.config)
         self._held[slice_id] = slice_id.key
@@ -106,6 +113,12 @@
         grants = tuple(self._grant(now_ms, key, item, lendable) for item in request.items)
         return BorrowReply(request.incarnation, request.request_id, grants)
 
+    def _refill_from_ms(self, now_ms: int, slice_id: SliceId) -> int:
+        withdrawn_ms = self._withdrawn_ms.pop(slice_id, None)
+        if withdrawn_ms is None:
+            return now_ms
+        return max(now_ms, withdrawn_ms + self.config.wait_out_ms)
+
     def _grant(self, now_ms: int, key: LoanKey, item: BorrowItem, lendable: bool) -> Grant:
         bucket = self._buckets.get(item.slice_key)
         if bucket is None or not lendable:
--- a/tests/ledger/test_session.py
+++ b/tests/ledger/test_session.py
@@ -9,6 +9,7 @@
 
 from wisteria_core import Refusal, ResultCode, RunState
 from wisteria_ledger import (
+    Join,
     Ledger,
     LedgerConfig,
     LedgerSlotId,
@@ -87,6 +88,15 @@
     assert "\n".join(session.lines) == snapshot
 
 
+def test_a_second_start_forgets_nothing() -> None:
+    ledger = Ledger()
+    ledger.start(0, EPOCH_MS, SLOT)
+    request = make_key(9_000, 1)
+    assert isinstance(ledger.begin(9_000, EPOCH_MS + 9_000, SLOT, request, b""), Start)
+    ledger.start(9_500, EPOCH_MS + 9_500, SLOT)
+    assert isinstance(ledger.begin(9_600, EPOCH_MS + 9_600, SLOT, request, b""), Join)
+
+
 def test_full_ledger_refuses_new_and_keeps_old() -> None:
     ledger = Ledger(LedgerConfig(max_entries=2))
     ledger.start(0, EPOCH_MS, SLOT)
--- a/tests/limits/test_session.py
+++ b/tests/limits/test_session.py
@@ -163,6 +163,23 @@
     assert capsys.readouterr().out == "refused\n"
 
 
+def test_a_slice_named_again_waits_for_its_loans() -> None:
+    session = Session()
+    session.admit(1_000, 19)
+    session.tick(1_000, answered=True)
+    session.owner.configure(1_010, {})
+    session.owner.configure(1_020, session.shares)
+    for slice_id in session.shares:
+        assert session.owner.start(1_020, slice_id)
+        assert session.owner.start(1_030, slice_id)
+    buckets = [session.owner.bucket(slice_id) for slice_id in session.shares]
+    for now_ms, level in ((3_000, 0), (3_200, 1)):
+        for bucket in buckets:
+            assert bucket is not None
+            bucket.advance(now_ms)
+            assert bool(bucket.level_milli) == bool(level)
+
+
 def test_a_cold_start_opens_soon_after_the_owners_start() -> None:
     session = Session()
     session.owner.drop_all()
