Index the list by scope once; rank owners from the cache

The list was scanned for each of 381 scopes and for each slice. Ruled out: a longer fence (the pause itself is the fault).

--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -239,7 +239,7 @@
         self.shared.slots.apply_list(vm_list, requested_at_ms)
         if requested_at_ms is not None or not self.shared.slots.ownership.needs_list:
             self.is_list_current = True
-        self._apply_slots()
+        self.shared.rates.refresh_owners()
 
     async def _read_list_anew(self) -> None:
         """Read the list until it succeeds; the daemon takes no calls before."""
@@ -264,12 +264,6 @@
         ended += self.path.serving.end_withdrawn(document)
         if ended:
             _LOGGER.info("withdrawn_calls_ended", extra={"calls": ended})
-        self._apply_slots()
-
-    def _apply_slots(self) -> None:
-        document = self.shared.configuration.document
-        if document is None or self.vm_list is None:
-            return
         self.shared.rates.apply_document(document)
         self.shared.slots.apply_slots(list_slots(self.shared.rates.shares, document))
 
--- a/libs/daemon/src/wisteriaproxy/slots.py
+++ b/libs/daemon/src/wisteriaproxy/slots.py
@@ -8,7 +8,7 @@
 import attrs
 
 from wisteria_config import Document
-from wisteria_core import Clock, VmId, VmList, VmState, rank_by_rendezvous
+from wisteria_core import Clock, VmId, VmList
 from wisteria_ledger import LEDGER_SLOTS_PER_SERVICE
 from wisteria_limits import SliceId
 from wisteria_ownership import (
@@ -81,7 +81,6 @@
     audit: AuditTrail
     send: Callable[[VmId, Any], None]
     keepers: dict[SlotFamily, SlotKeeper] = attrs.field(factory=dict)
-    _vm_list: VmList | None = None
 
     def may_decide(self, slot: SlotId) -> bool:
         """Return whether this daemon may act for a slot at this moment."""
@@ -89,16 +88,10 @@
 
     def rank_first(self, slot: SlotId) -> VmId | None:
         """Return the VM that the list in force ranks first for a slot."""
-        if self._vm_list is None:
-            return None
-        members = [
-            vm.vm_id for vm in self._vm_list if vm.state is VmState.LIVE and slot.scope.includes(vm)
-        ]
-        return VmId(rank_by_rendezvous(slot.key, members)[0]) if members else None
+        return self.ownership.rank_first(slot)
 
     def apply_list(self, vm_list: VmList, requested_at_ms: int | None = None) -> None:
         """Take in a read of the list of VMs."""
-        self._vm_list = vm_list
         self._carry_out(self.ownership.update_list(self.clock.now_ms(), vm_list, requested_at_ms))
 
     def apply_slots(self, slots: Iterable[SlotId]) -> None:
