Begin safely after a hand-over that cannot be read

Cause: the daemon sends an empty payload when a slice was not held; the error left the slot with nobody, and starting empty at once would refill beside loans that may still run. Ruled out: leaving it to the caller (there is one right answer). Before and after: ValueError from start; now nothing is lent until every such loan has ended.

--- a/libs/limits/src/wisteria_limits/owner.py
+++ b/libs/limits/src/wisteria_limits/owner.py
@@ -1,5 +1,6 @@
 """Every slice that one VM owns, and its answers to borrowers."""
 
+import logging
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -8,6 +9,8 @@
 from .config import LimitsConfig
 from .models import BorrowItem, BorrowReply, BorrowRequest, Grant, SliceId, SliceShare
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @attrs.define
 class SliceOwner:
@@ -52,7 +55,8 @@
         slice_id : SliceId
             Slice that this VM owns from now on.
         payload : bytes, optional
-            Hand-over of the earlier owner. Without one the slice starts empty.
+            Hand-over of the earlier owner. Without one the slice starts empty. After one that
+            cannot be read it refills only when every loan that it may tell of has ended.
 
         Returns
         -------
@@ -64,12 +68,8 @@
             return False
         if slice_id in self._held:
             return True
-        if payload is None:
-            bucket = SliceBucket(share, self.config, self._refill_from_ms(now_ms, slice_id))
-        else:
-            bucket = SliceBucket.from_bytes(now_ms, payload, share, self.config)
         self._held[slice_id] = slice_id.key
-        self._buckets[slice_id.key] = bucket
+        self._buckets[slice_id.key] = self._make_bucket(now_ms, slice_id, share, payload)
         return True
 
     def release(self, now_ms: int, slice_id: SliceId) -> bytes | None:
@@ -113,6 +113,17 @@
         grants = tuple(self._grant(now_ms, key, item, lendable) for item in request.items)
         return BorrowReply(request.incarnation, request.request_id, grants)
 
+    def _make_bucket(
+        self, now_ms: int, slice_id: SliceId, share: SliceShare, payload: bytes | None
+    ) -> SliceBucket:
+        if payload is None:
+            return SliceBucket(share, self.config, self._refill_from_ms(now_ms, slice_id))
+        try:
+            return SliceBucket.from_bytes(now_ms, payload, share, self.config)
+        except ValueError:
+            _LOGGER.warning("slice_payload_unreadable", extra={"slot": slice_id.name})
+            return SliceBucket(share, self.config, now_ms + self.config.wait_out_ms)
+
     def _refill_from_ms(self, now_ms: int, slice_id: SliceId) -> int:
         withdrawn_ms = self._withdrawn_ms.pop(slice_id, None)
         if withdrawn_ms is None:
