--- a/tests/ownership/test_planted_mistakes.py
+++ b/tests/ownership/test_planted_mistakes.py
@@ -117,7 +117,7 @@
     Planted.__name__ = f"Planted{mistake.__name__}"
     search = settings(max_examples=400, stateful_step_count=40, phases=[Phase.generate], **SETTINGS)
     with pytest.raises(ViolationError):
-        run_state_machine_as_test(Planted, settings=search)  # type: ignore[no-untyped-call]
+        run_state_machine_as_test(Planted, settings=search)
 
 
 def test_wait_covers_lease_and_fence_under_drift() -> None:
