Send the end of a run to the VM that the slot went to; cut the level no faster than it shows

The shedding level was cut every 50 ms while a cut shows only after a call's run time: at 300 ms a call it fell to 'urgent only' and swung back.

--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -7,6 +7,9 @@
 from .config import LevelConfig
 from .const import RANK_COUNT, RANKS_PER_PRIORITY
 
+CUT_RUNS = 1.0
+"""Least time between two cuts, in run times: a cut shows no sooner."""
+
 BUSY_STEP_PART = 4
 """Part of the largest rise of the level that is used while no slot is idle."""
 
@@ -30,6 +33,7 @@
     threshold: int = RANK_COUNT
     _step: int = attrs.field(init=False)
     _updated_ms: int = attrs.field(init=False, default=0)
+    _cut_ms: int = attrs.field(init=False, default=0)
     _least_wait_ms: float = attrs.field(init=False, default=math.inf)
     _ranks: list[int] = attrs.field(init=False, factory=list)
 
@@ -77,6 +81,9 @@
         wait_ms, self._least_wait_ms = self._least_wait_ms, math.inf
         target_ms = min(max(float(self.config.target_wait_ms), run_ms), full_ms / 2.0)
         if wait_ms > target_ms:
+            if now_ms - self._cut_ms < run_ms * CUT_RUNS:
+                return
+            self._cut_ms = now_ms
             sheds_urgent = urgent_wait_ms > self.config.urgent_factor * target_ms
             self._cut(wait_ms / target_ms, 0 if sheds_urgent else RANKS_PER_PRIORITY)
         elif 2 * wait_ms < target_ms:
--- a/libs/daemon/src/wisteriaproxy/control/control.capnp
+++ b/libs/daemon/src/wisteriaproxy/control/control.capnp
@@ -193,6 +193,7 @@
   finished @5 :Bool;
   answer @6 :Data;
   retained @7 :Bool;
+  hops @8 :Int64;
 }
 
 struct Scope {
--- a/libs/daemon/src/wisteriaproxy/once.py
+++ b/libs/daemon/src/wisteriaproxy/once.py
@@ -36,6 +36,7 @@
 _MS_PER_S = 1_000
 _NS_PER_MS = 1_000_000
 MAX_ANSWER_BYTES = 1_000_000
+MAX_HOPS = 3
 
 NOT_RETAINED = Refusal(
     ResultCode.ANSWER_NOT_RETAINED, "the request ran; its answer is too long to keep", RunState.RAN
@@ -118,8 +119,17 @@
 
     def handle_ended(self, _sender: VmId, _incarnation: int, message: Any) -> None:
         """Take in how a run ended that an earlier owner had in flight."""
-        if isinstance(message, RunEnded):
+        if not isinstance(message, RunEnded):
+            return
+        slot = ledger_slot(message.service, message.slot_index)
+        if self.slots.may_decide(slot):
             self.ledger.on_run_ended(self.clock.now_ms(), message)
+            return
+        heir = self.slots.find_heir(slot)
+        if heir is None or heir == self.forwarder.own_vm or message.hops >= MAX_HOPS:
+            _LOGGER.warning("run_end_lost", extra={"slot": slot.key})
+            return
+        self.send(heir, attrs.evolve(message, hops=message.hops + 1))
 
     # SlotKeeper
 
@@ -252,8 +262,8 @@
             is_recorded = self.ledger.fail_unknown(now_ms, run.run_id)
         if is_recorded or not is_known:
             return
-        heir = self.slots.rank_first(run.slot)
-        if heir is None:
+        heir = self.slots.find_heir(run.slot)
+        if heir is None or heir == self.forwarder.own_vm:
             return
         key = make_run_key(head)
         slot_id = slot_for(head.service, key)
--- a/libs/daemon/src/wisteriaproxy/slots.py
+++ b/libs/daemon/src/wisteriaproxy/slots.py
@@ -16,6 +16,7 @@
     Action,
     AuditEntry,
     AuditEvent,
+    HandOver,
     Ownership,
     Released,
     ReleaseReason,
@@ -81,6 +82,7 @@
     audit: AuditTrail
     send: Callable[[VmId, Any], None]
     keepers: dict[SlotFamily, SlotKeeper] = attrs.field(factory=dict)
+    _heirs: dict[SlotId, VmId] = attrs.field(factory=dict)
 
     def may_decide(self, slot: SlotId) -> bool:
         """Return whether this daemon may act for a slot at this moment."""
@@ -90,6 +92,10 @@
         """Return the VM that the list in force ranks first for a slot."""
         return self.ownership.rank_first(slot)
 
+    def find_heir(self, slot: SlotId) -> VmId | None:
+        """Return the VM that this daemon handed a slot to, else the one that ranks first."""
+        return self._heirs.get(slot) or self.rank_first(slot)
+
     def apply_list(self, vm_list: VmList, requested_at_ms: int | None = None) -> None:
         """Take in a read of the list of VMs."""
         self._carry_out(self.ownership.update_list(self.clock.now_ms(), vm_list, requested_at_ms))
@@ -128,8 +134,11 @@
         for action in actions:
             match action:
                 case Send(vm_id, message):
+                    if isinstance(message, HandOver):
+                        self._heirs[message.slot] = vm_id
                     self.send(vm_id, message)
                 case Acquired(slot, _, payload):
+                    self._heirs.pop(slot, None)
                     self.keepers[slot.family].acquire(slot, payload)
                 case Released(slot, ReleaseReason.HAND_OVER):
                     payload = self.keepers[slot.family].release(slot)
--- a/libs/ledger/src/wisteria_ledger/models.py
+++ b/libs/ledger/src/wisteria_ledger/models.py
@@ -114,6 +114,8 @@
         Answer of a finished run; empty when it is not retained.
     retained : bool
         Whether `answer` holds the answer.
+    hops : int
+        How often the message was passed on, because the slot had moved on.
     """
 
     service: str
@@ -124,3 +126,4 @@
     finished: bool
     answer: bytes = b""
     retained: bool = False
+    hops: int = 0
