--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -7,7 +7,7 @@
 from .config import LevelConfig
 from .const import RANK_COUNT, RANKS_PER_PRIORITY
 
-CUT_RUNS = 1.0
+CUT_RUNS = 0.75
 """Least time between two cuts, in run times: a cut shows no sooner."""
 
 BUSY_STEP_PART = 4
--- a/tests/admission/test_limiters.py
+++ b/tests/admission/test_limiters.py
@@ -95,3 +95,12 @@
         assert figures.worst_account_share >= 0.8
         assert figures.recovery_s is not None
         assert figures.recovery_s <= 2.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("slowdown", list(Slowdown))
+def test_goodput_at_four_times_the_load_in_each_run(slowdown: Slowdown, seed: int) -> None:
+    one, four = (
+        measure(Scenario("aimd", Order.FAIR, load, slowdown, seed)).goodput_per_s for load in (1, 4)
+    )
+    assert four >= 0.9 * one
