--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -34,7 +34,7 @@
 _MS_PER_S = 1_000
 _REJECTED_STATUSES = frozenset({429, 503})
 _FIRST_ERROR_STATUS = 500
-CONF_TICK_MS = 20
+TICK_MS = 20
 
 WITHDRAWN = Refusal(ResultCode.KEY_WITHDRAWN, "the key has been withdrawn")
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
@@ -137,7 +137,7 @@
     async def run_ticks(self) -> None:
         """Let the gate refuse late work; runs until cancelled."""
         while True:
-            await anyio.sleep(CONF_TICK_MS / _MS_PER_S)
+            await anyio.sleep(TICK_MS / _MS_PER_S)
             self._apply(self.gate.tick(self.clock.now_ms()))
 
     def end_withdrawn(self, document: Document) -> int:
--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -10,10 +10,8 @@
 from .const import (
     DEFAULT_BACKOFF_FIRST_MS,
     DEFAULT_BACKOFF_MAX_MS,
-    DEFAULT_DRAIN_PATH,
     DEFAULT_HEALTH_PATH,
     DEFAULT_HEARTBEAT_MS,
-    DEFAULT_LOAD_PATH,
     DEFAULT_LOOP_GAP_MS,
     DEFAULT_MAX_CONNECTIONS,
     DEFAULT_POLL_MS,
@@ -102,8 +100,6 @@
         "Connections to it at most.", between(1, 10_000, "connections"), DEFAULT_MAX_CONNECTIONS
     )
     health_path: str = setting("Path of its health endpoint.", URL_PATH, DEFAULT_HEALTH_PATH)
-    load_path: str = setting("Path of its load endpoint.", URL_PATH, DEFAULT_LOAD_PATH)
-    drain_path: str = setting("Path that is told of a drain.", URL_PATH, DEFAULT_DRAIN_PATH)
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/ownership/test_planted_mistakes.py
+++ b/tests/ownership/test_planted_mistakes.py
@@ -115,7 +115,9 @@
             """Only the invariant is looked at."""
 
     Planted.__name__ = f"Planted{mistake.__name__}"
-    search = settings(max_examples=3_000, stateful_step_count=40, phases=[Phase.generate], **SETTINGS)
+    search = settings(
+        max_examples=3_000, stateful_step_count=40, phases=[Phase.generate], **SETTINGS
+    )
     with pytest.raises(ViolationError):
         run_state_machine_as_test(Planted, settings=search)
 
