Follow the rename of the serving tick in the control counts

Cause: CONF_ names keys of the configuration; the constant is a period, renamed in the daemon alone, so that mypy failed in a fresh clone.

--- a/script/tools/control_counts.py
+++ b/script/tools/control_counts.py
@@ -45,7 +45,7 @@
 from wisteriaproxy.platform import parse_vms
 from wisteriaproxy.rates import TICK_MS as RATE_TICK_MS
 from wisteriaproxy.rates import Rates
-from wisteriaproxy.serving import CONF_TICK_MS
+from wisteriaproxy.serving import TICK_MS
 from wisteriaproxy.slots import TICK_MS as SLOT_TICK_MS
 from wisteriaproxy.slots import (
     SlotTable,
@@ -155,7 +155,7 @@
     config = Disseminator(VmId("vm-00000"), FailureDomain("domain-00"), 1)
     timers: tuple[tuple[str, int, Callable[[int], object]], ...] = (
         ("rates", 1_000 // RATE_TICK_MS, rates.budget.tick),
-        ("gate", 1_000 // CONF_TICK_MS, gate.tick),
+        ("gate", 1_000 // TICK_MS, gate.tick),
         ("ownership", 1_000 // SLOT_TICK_MS, rates.slots.ownership.tick),
         ("dissemination", 1_000 // CONFIG_TICK_MS, config.tick),
     )
