--- a/libs/daemon/src/wisteriaproxy/control/plane.py
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -29,6 +29,8 @@
     ----------
     find_vm : callable
         Returns a VM of the list in force, or None.
+    dialing : int
+        Messages that wait for a link to be opened.
     """
 
     own_vm: VmId
@@ -37,6 +39,7 @@
     tasks: TaskGroup
     find_vm: Callable[[VmId], Vm | None]
     sent_bytes: int = 0
+    dialing: int = 0
     received_bytes: int = 0
     counts: Counter[str] = attrs.field(factory=Counter)
     link_bytes: Counts = attrs.field(factory=lambda: Counts(LINK_BYTES))
@@ -63,6 +66,7 @@
         if vm is None:
             self.counts["unknown_vm"] += 1
             return
+        self.dialing += 1
         self.tasks.start_soon(self._dial_and_send, vm, number, payload)
 
     def handle(self, link: Link, number: int, payload: bytes) -> None:
@@ -87,7 +91,10 @@
             handler(sender, incarnation, message)
 
     async def _dial_and_send(self, vm: Vm, number: int, payload: bytes) -> None:
-        link = await self.links.obtain(vm)
+        try:
+            link = await self.links.obtain(vm)
+        finally:
+            self.dialing -= 1
         if isinstance(link, Refusal):
             self.counts["unreachable"] += 1
             return
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -204,6 +204,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def finish(self, reason: str) -> None:
+        """Close the link once all that was written has been sent."""
+        self._close_reason = reason
+        if self._transport is not None:
+            self._transport.close()
+
     def send_frame(self, kind: FrameKind, call_id: int, payload: bytes) -> None:
         """Write one frame; on a closed link nothing happens."""
         if self._transport is None or self.closed.is_set():
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -79,11 +79,11 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def async_unload(self) -> None:
-        """Stop listening and close every link."""
+        """Stop listening and close every link once what was written has been sent."""
         if self._server is not None:
             self._server.close()
         for link in [*self._links.values(), *self._accepted]:
-            link.close("the daemon stops")
+            link.finish("the daemon stops")
 
     def find(self, vm_id: VmId) -> Link | None:
         """Return an open link to a peer, dialed or accepted."""
