--- a/libs/config/src/wisteria_config/__init__.py
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -11,8 +11,10 @@
     DomainRecord,
     KeyRecord,
     PublicPolicy,
+    RequestLimits,
     Route,
     Service,
+    SplitPart,
 )
 from .validation import validate_document
 from .versions import VersionOrder, VersionStamp, compare_versions
@@ -27,8 +29,10 @@
     "DomainRecord",
     "KeyRecord",
     "PublicPolicy",
+    "RequestLimits",
     "Route",
     "Service",
+    "SplitPart",
     "VersionOrder",
     "VersionStamp",
     "canonical_bytes",
--- a/libs/config/src/wisteria_config/changes.py
+++ b/libs/config/src/wisteria_config/changes.py
@@ -32,6 +32,11 @@
     "deadline_ms": Quantity("deadline", " ms"),
     "retry_allowance": Quantity("retry allowance"),
     "stall_ms": Quantity("stall limit", " ms"),
+    "target_ms": Quantity("latency target", " ms"),
+    "header_bytes": Quantity("limit on the head", " bytes"),
+    "body_bytes": Quantity("limit on the body", " bytes"),
+    "header_timeout_ms": Quantity("time for a request to arrive", " ms"),
+    "idle_timeout_ms": Quantity("idle time of a connection", " ms"),
 }
 
 _FLAGS = {
@@ -53,6 +58,7 @@
         *_compare(old.keys, new.keys, _key_name, _describe_key, _change_key),
         *_compare(old.services, new.services, _service_name, _describe_service, _change_service),
         *_compare(old.routes, new.routes, _route_name, _describe_route, _change_route),
+        *_change_quantities(old.limits, new.limits, "requests"),
     )
 
 
@@ -132,6 +138,13 @@
 
 def _change_account(old: Account, new: Account) -> Iterator[str]:
     yield from _change_quantities(old, new, f"client account {new.name}")
+    if old.priority != new.priority:
+        before, after = _name_priority(old.priority), _name_priority(new.priority)
+        yield f"changes priority of client account {new.name} from {before} to {after}"
+
+
+def _name_priority(priority: Priority | None) -> str:
+    return "that of the route" if priority is None else priority.name.lower()
 
 
 def _change_key(old: KeyRecord, new: KeyRecord) -> Iterator[str]:
@@ -143,6 +156,9 @@
 
 def _change_service(old: Service, new: Service) -> Iterator[str]:
     yield from _change_quantities(old, new, f"service {new.name}")
+    if old.health_path != new.health_path:
+        path = new.health_path or "the daemon's own setting"
+        yield f"moves the health endpoint of service {new.name} to {path}"
 
 
 def _change_route(old: Route, new: Route) -> Iterator[str]:
@@ -152,6 +168,10 @@
     if (old.method, old.path) != (new.method, new.path):
         call = f"{old.method} {old.path} to {new.method} {new.path}"
         yield f"changes the calls of {subject} from {call}"
+    if old.host != new.host:
+        yield f"moves {subject} from host {old.host or 'any'} to {new.host or 'any'}"
+    if old.split != new.split:
+        yield f"divides {subject} among {_describe_split(new)}, formerly {_describe_split(old)}"
     for field, (words_on, words_off) in _FLAGS.items():
         if getattr(old, field) != getattr(new, field):
             yield (words_on if getattr(new, field) else words_off).format(subject)
@@ -161,6 +181,11 @@
     yield from _change_permits(old, new)
 
 
+def _describe_split(route: Route) -> str:
+    parts = [f"{part.service} {part.weight}" for part in route.split]
+    return ", ".join(parts) or f"{route.service} alone"
+
+
 def _change_priority(old: Priority, new: Priority, subject: str) -> str:
     verb = "raises" if new < old else "lowers"
     return f"{verb} priority of {subject} from {old.name.lower()} to {new.name.lower()}"
--- a/libs/config/src/wisteria_config/delta.py
+++ b/libs/config/src/wisteria_config/delta.py
@@ -16,6 +16,7 @@
     DomainRecord,
     KeyRecord,
     PublicPolicy,
+    RequestLimits,
     Route,
     Service,
 )
@@ -64,7 +65,8 @@
 class Delta:
     """What turns one document into a later one.
 
-    The public policy is always carried: it is small, and so a delta needs no third state.
+    The public policy and the limits are always carried: they are small, and so a delta needs
+    no third state.
     """
 
     version: int = attrs.field(
@@ -73,6 +75,9 @@
     public: PublicPolicy = attrs.field(metadata=about("Account for open routes."))
     upserts: Upserts = attrs.field(default=Upserts(), metadata=about("Added or replaced."))
     deletions: Deletions = attrs.field(default=Deletions(), metadata=about("Removed."))
+    limits: RequestLimits = attrs.field(
+        default=RequestLimits(), metadata=about("Bounds on requests of callers.")
+    )
 
 
 for _part in (Upserts, Deletions, Delta):
@@ -88,7 +93,9 @@
         after = _by_name(getattr(new, section), name)
         upserts[section] = tuple(part for key, part in after.items() if before.get(key) != part)
         deletions[section] = tuple(sorted(before.keys() - after.keys()))
-    return Delta(new.version, new.public, Upserts(**upserts), Deletions(**deletions))
+    return Delta(
+        new.version, new.public, Upserts(**upserts), Deletions(**deletions), new.limits
+    )
 
 
 def join_deltas(first: Delta, second: Delta) -> Delta:
@@ -103,7 +110,9 @@
         gone = set(getattr(first.deletions, section)) - added.keys()
         upserts[section] = tuple((kept | added).values())
         deletions[section] = tuple(sorted(gone | removed))
-    return Delta(second.version, second.public, Upserts(**upserts), Deletions(**deletions))
+    return Delta(
+        second.version, second.public, Upserts(**upserts), Deletions(**deletions), second.limits
+    )
 
 
 def apply_delta(document: Document, delta: Delta) -> Document | DocumentErrors:
@@ -118,7 +127,9 @@
             parts.pop(key, None)
         parts |= _by_name(getattr(delta.upserts, section), name)
         sections[section] = tuple(parts[key] for key in sorted(parts))
-    result = attrs.evolve(document, version=delta.version, public=delta.public, **sections)
+    result = attrs.evolve(
+        document, version=delta.version, public=delta.public, limits=delta.limits, **sections
+    )
     errors = tuple(find_cross_faults(result))
     return DocumentErrors(errors) if errors else result
 
--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -24,6 +24,7 @@
 RATE = IntegerRange(1, const.MAX_RATE_PER_S)
 BURST = IntegerRange(1, const.MAX_BURST_CALLS)
 WEIGHT = IntegerRange(1, const.MAX_WEIGHT)
+LIMIT_TIME = IntegerRange(1, const.MAX_DEADLINE_MS)
 
 
 @attrs.frozen
@@ -37,6 +38,12 @@
         default=const.DEFAULT_WEIGHT,
         metadata=about("Share of a busy queue, relative to other accounts.", WEIGHT),
     )
+    priority: Priority | None = attrs.field(
+        default=None,
+        metadata=about(
+            "Order under overload; goes before the priority of the route.", PriorityName()
+        ),
+    )
 
 
 @attrs.frozen
@@ -102,6 +109,26 @@
             IntegerRange(1, const.MAX_CRASHES),
         ),
     )
+    health_path: str = attrs.field(
+        default=const.DEFAULT_HEALTH_PATH,
+        metadata=about(
+            "Path of the health endpoint; the daemon's setting when left out.",
+            Text(const.HEALTH_PATH_PATTERN, 'a path such as "/healthz"'),
+        ),
+    )
+
+
+@attrs.frozen
+class SplitPart:
+    """One of the services among which the calls of a route are divided."""
+
+    service: str = attrs.field(metadata=about("Service that answers.", NAME))
+    weight: int = attrs.field(
+        metadata=about(
+            "Part of the calls, relative to the other parts.",
+            IntegerRange(0, const.MAX_SPLIT_WEIGHT),
+        )
+    )
 
 
 @attrs.frozen
@@ -109,12 +136,15 @@
     """The policy for the calls that one method and path pattern match."""
 
     id: str = attrs.field(metadata=about("Name, unique.", NAME))
-    service: str = attrs.field(metadata=about("Service that answers.", NAME))
-    method: str = attrs.field(metadata=about("HTTP method.", OneOf(const.METHODS)))
+    service: str = attrs.field(
+        metadata=about("Service that answers; with `split`, the one counted first.", NAME)
+    )
+    method: str = attrs.field(metadata=about("HTTP method, or `ANY`.", OneOf(const.METHODS)))
     path: str = attrs.field(
         metadata=about(
             "Pattern, matched by whole segments as a prefix; `{name}` stands for any one "
-            "segment. The longest match wins, a literal segment before `{name}`.",
+            "segment. The longest match wins, a literal segment before `{name}`. With a slash at "
+            "its end, something must follow the prefix or its slash.",
             Text(const.PATH_PATTERN, 'a path such as "/stalls/{stall}/status", without query'),
         )
     )
@@ -162,12 +192,53 @@
         default=(),
         metadata=about("Client accounts that may call; all when left out.", Names(NAME)),
     )
+    host: str = attrs.field(
+        default="",
+        metadata=about(
+            "Host of the calls, compared without regard to case; any when left out. A route with "
+            "a host goes before one without.",
+            Text(const.HOST_PATTERN, 'a host name such as "yields.example"'),
+        ),
+    )
+    split: tuple[SplitPart, ...] = attrs.field(
+        default=(),
+        metadata=about("Services among which the calls are divided; `service` alone without."),
+    )
+    target_ms: int = attrs.field(
+        default=0,
+        metadata=about(
+            "Time within which an answer has its full value to the caller, ms; 0 for no target.",
+            IntegerRange(0, const.MAX_DEADLINE_MS),
+        ),
+    )
 
     def permits(self, account: str) -> bool:
         """Return whether callers of `account` may use this route."""
         return not self.accounts or account in self.accounts
 
 
+@attrs.frozen
+class RequestLimits:
+    """Bounds on what a caller may send and how long it may take."""
+
+    header_bytes: int = attrs.field(
+        default=const.DEFAULT_HEADER_BYTES,
+        metadata=about("Longest head of a request.", IntegerRange(1, const.MAX_HEADER_BYTES)),
+    )
+    body_bytes: int = attrs.field(
+        default=const.DEFAULT_BODY_BYTES,
+        metadata=about("Longest body of a request.", IntegerRange(1, const.MAX_BODY_BYTES)),
+    )
+    header_timeout_ms: int = attrs.field(
+        default=const.DEFAULT_HEADER_TIMEOUT_MS,
+        metadata=about("Longest time for a request to arrive, ms.", LIMIT_TIME),
+    )
+    idle_timeout_ms: int = attrs.field(
+        default=const.DEFAULT_IDLE_TIMEOUT_MS,
+        metadata=about("Time after which an idle connection of a caller is closed, ms.", LIMIT_TIME),
+    )
+
+
 @attrs.frozen
 class DomainRecord:
     """A failure domain among which account rates are divided."""
@@ -200,6 +271,9 @@
     keys: tuple[KeyRecord, ...] = attrs.field(default=(), metadata=about("Keys of accounts."))
     services: tuple[Service, ...] = attrs.field(default=(), metadata=about("Services."))
     routes: tuple[Route, ...] = attrs.field(default=(), metadata=about("Route policies."))
+    limits: RequestLimits = attrs.field(
+        default=RequestLimits(), metadata=about("Bounds on requests of callers.")
+    )
 
     @functools.cached_property
     def _accounts_by_name(self) -> dict[str, Account]:
@@ -218,8 +292,14 @@
         return {service.name: service for service in self.services}
 
     @functools.cached_property
-    def _route_index(self) -> "RouteIndex[Route]":
-        return RouteIndex.build((route.method, route.path, route) for route in self.routes)
+    def _route_indexes(self) -> "dict[str, RouteIndex[Route]]":
+        hosts: dict[str, list[Route]] = {}
+        for route in self.routes:
+            hosts.setdefault(route.host.lower(), []).append(route)
+        return {
+            host: RouteIndex.build((route.method, route.path, route) for route in routes)
+            for host, routes in hosts.items()
+        }
 
     def find_account(self, name: str) -> Account | None:
         """Return the client account of that name; ``public`` is the one of open routes."""
@@ -248,7 +328,7 @@
         record = self._keys_by_digest.get(sha256)
         return record is not None and record.id == key_id
 
-    def match_route(self, method: str, path: str) -> Route | None:
+    def match_route(self, method: str, path: str, host: str = "") -> Route | None:
         """Return the route with the longest pattern that matches, or None.
 
         Parameters
@@ -259,8 +339,17 @@
             Request target in origin form; a query is ignored. A path that servers may read
             in more than one way (dot segments, empty segments, encoded separators) matches
             no route.
+        host : str
+            Host header of the request; routes without a host match any.
         """
-        return self._route_index.find(method, path)
+        for name in (host.lower(), "") if host else ("",):
+            index = self._route_indexes.get(name)
+            if index is None:
+                continue
+            route = index.find(method, path) or index.find(const.ANY_METHOD, path)
+            if route is not None:
+                return route
+        return None
 
 
 @attrs.frozen
--- a/libs/config/src/wisteria_config/paths.py
+++ b/libs/config/src/wisteria_config/paths.py
@@ -13,9 +13,18 @@
 
 @attrs.define
 class _Node(Generic[T]):
-    """One segment of the patterns of a method."""
+    """One segment of the patterns of a method.
+
+    Parameters
+    ----------
+    target : T or None
+        Of the pattern that ends here.
+    below : T or None
+        Of the pattern that ends here with a slash: the path has to go on.
+    """
 
     target: T | None = None
+    below: T | None = None
     literals: "dict[str, _Node[T]]" = attrs.Factory(dict)
     parameter: "_Node[T] | None" = None
 
@@ -42,7 +51,10 @@
             node = roots.setdefault(method, _Node())
             for segment in pattern_segments(pattern):
                 node = node.child(segment)
-            node.target = target
+            if is_prefix_only(pattern):
+                node.below = target
+            else:
+                node.target = target
         return cls(roots)
 
     def find(self, method: str, path: str) -> T | None:
@@ -51,10 +63,10 @@
         segments = split_path(path)
         if root is None or segments is None:
             return None
-        return _descend(root, segments)
+        return _descend(root, segments, path.partition("?")[0].endswith("/"))
 
 
-def _descend(root: _Node[T], segments: list[str]) -> T | None:
+def _descend(root: _Node[T], segments: list[str], ends_with_slash: bool) -> T | None:
     """Walk all matching branches level by level; the deepest target wins.
 
     The nodes of a level are ordered with literal segments first, so the first target of
@@ -62,14 +74,20 @@
     """
     best = root.target
     level = [root]
-    for segment in segments:
+    for index, segment in enumerate(segments):
         level = _next_level(level, segment)
         if not level:
             break
-        best = next((node.target for node in level if node.target is not None), best)
+        goes_on = ends_with_slash or index + 1 < len(segments)
+        found = (_read_target(node, goes_on) for node in level)
+        best = next((target for target in found if target is not None), best)
     return best
 
 
+def _read_target(node: _Node[T], goes_on: bool) -> T | None:
+    return node.below if goes_on and node.below is not None else node.target
+
+
 def _next_level(level: list[_Node[T]], segment: str) -> list[_Node[T]]:
     found = []
     for node in level:
@@ -89,7 +107,13 @@
 def pattern_shape(pattern: str) -> str:
     """Return the pattern with its parameter names left out; equal shapes match alike."""
     segments = pattern_segments(pattern)
-    return "/" + "/".join("{}" if segment.startswith("{") else segment for segment in segments)
+    shape = "/" + "/".join("{}" if segment.startswith("{") else segment for segment in segments)
+    return f"{shape}/" if is_prefix_only(pattern) else shape
+
+
+def is_prefix_only(pattern: str) -> bool:
+    """Return whether a pattern ends with a slash, so that a path must go on after it."""
+    return len(pattern) > 1 and pattern.endswith("/")
 
 
 def split_path(path: str) -> list[str] | None:
--- a/libs/config/src/wisteria_config/reference.py
+++ b/libs/config/src/wisteria_config/reference.py
@@ -9,7 +9,17 @@
 
 from . import const
 from .constraints import About, read_about
-from .models import Account, Document, DomainRecord, KeyRecord, PublicPolicy, Route, Service
+from .models import (
+    Account,
+    Document,
+    DomainRecord,
+    KeyRecord,
+    PublicPolicy,
+    RequestLimits,
+    Route,
+    Service,
+    SplitPart,
+)
 
 _SECTIONS: tuple[tuple[str, type[Any]], ...] = (
     ("The whole document", Document),
@@ -19,6 +29,8 @@
     ("`failure_domains`: failure domains", DomainRecord),
     ("`services`: services", Service),
     ("`routes`: route policies", Route),
+    ("`split` of a route", SplitPart),
+    ("`limits`: bounds on requests", RequestLimits),
 )
 
 _INTRODUCTION = f"""\
@@ -36,7 +48,8 @@
 _CLOSING = """
 ## Rules across fields
 
-- Names are unique within their list; so are key digests, and the pairs of method and path.
+- Names are unique within their list; so are key digests, and the triples of host, method and
+  path.
 - Keys name an existing account, routes an existing service and existing accounts.
 - An open route lists no accounts. A long download is a repeatable `GET`.
 - The order of the lists has no meaning.
@@ -72,7 +85,7 @@
 def _render_allowed(name: str, description: About) -> str:
     if description.constraint is not None:
         return description.constraint.describe()
-    return "an object, see below" if name == "public" else "a list of objects, see below"
+    return "an object, see below" if name in ("public", "limits") else "a list of objects, see below"
 
 
 def _render_default(field: "attrs.Attribute[Any]") -> str:
@@ -83,6 +96,12 @@
             return f'`"{field.default.name.lower()}"`'
         case bool():
             return f"`{str(field.default).lower()}`"
+        case RequestLimits():
+            return "its defaults"
+        case None:
+            return "none"
+        case "":
+            return "empty"
         case ():
             return "`[]`"
     return f"`{field.default}`"
--- a/libs/config/src/wisteria_config/references.py
+++ b/libs/config/src/wisteria_config/references.py
@@ -61,6 +61,7 @@
     yield from _find_dangling(source, "keys", "account", accounts)
     yield from _find_dangling(source, "routes", "service", _names(source, "services"))
     yield from _find_dangling_accounts(source, accounts)
+    yield from _find_split_faults(source, _names(source, "services"))
     yield from _find_reserved(source)
     yield from _find_route_clashes(source)
     yield from _find_service_clashes(source)
@@ -78,12 +79,12 @@
 
 
 def _find_same_patterns(source: Source) -> Iterator[DocumentError]:
-    first: dict[tuple[str, str], str] = {}
+    first: dict[tuple[str, str, str], str] = {}
     for place, read in _parts(source, "routes"):
-        method, path = read("method"), read("path")
-        if not _is_text(method) or not _is_text(path):
+        method, path, host = read("method"), read("path"), read("host") or ""
+        if not _is_text(method) or not _is_text(path) or not _is_text(host):
             continue
-        pattern = (method, pattern_shape(path))
+        pattern = (host.lower(), method, pattern_shape(path))
         if pattern in first:
             yield DocumentError(f"{place}.path", f"matches the same calls as {first[pattern]}")
         first.setdefault(pattern, place)
@@ -109,6 +110,23 @@
                 yield DocumentError(f"{place}.accounts[{index}]", problem)
 
 
+def _find_split_faults(source: Source, services: set[str]) -> Iterator[DocumentError]:
+    for place, read in _parts(source, "routes"):
+        parts = read("split")
+        if not isinstance(parts, list | tuple) or not parts:
+            continue
+        total = 0
+        for index, part in enumerate(parts):
+            name = part.get("service") if isinstance(part, dict) else getattr(part, "service", None)
+            weight = part.get("weight") if isinstance(part, dict) else getattr(part, "weight", 0)
+            total += weight if isinstance(weight, int) else 0
+            if _is_text(name) and name not in services:
+                problem = f"names an unknown service, {name!a:.70}"
+                yield DocumentError(f"{place}.split[{index}].service", problem)
+        if total <= 0:
+            yield DocumentError(f"{place}.split", "gives no service a weight above 0")
+
+
 def _find_reserved(source: Source) -> Iterator[DocumentError]:
     for place, read in _parts(source, "accounts"):
         if read("name") == PUBLIC_ACCOUNT:
--- a/libs/config/src/wisteria_config/structure.py
+++ b/libs/config/src/wisteria_config/structure.py
@@ -25,8 +25,10 @@
     DocumentErrors,
     KeyRecord,
     PublicPolicy,
+    RequestLimits,
     Route,
     Service,
+    SplitPart,
 )
 
 T = TypeVar("T")
@@ -88,7 +90,16 @@
     _CONVERTER.register_unstructure_hook(part, unstructure_part)
 
 
-for _part in (Account, PublicPolicy, KeyRecord, Service, Route, Document):
+for _part in (
+    Account,
+    PublicPolicy,
+    KeyRecord,
+    Service,
+    SplitPart,
+    Route,
+    RequestLimits,
+    Document,
+):
     register_part(_part)
 
 
--- a/libs/core/src/wisteria_core/models.py
+++ b/libs/core/src/wisteria_core/models.py
@@ -46,6 +46,12 @@
         Service whose backend server runs on the VM.
     state : VmState
         Live or leaving.
+    instance : str
+        Present process of the backend server; empty where the platform names none.
+    slots : int
+        Calls that the backend server runs at once; 0 where the platform does not say.
+    cold_ms : int
+        Time for which the backend server stays slow after its start, in milliseconds.
     """
 
     vm_id: VmId
@@ -55,6 +61,9 @@
     failure_domain: FailureDomain
     service: str
     state: VmState = VmState.LIVE
+    instance: str = ""
+    slots: int = 0
+    cold_ms: int = 0
 
 
 @attrs.frozen
--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -1,9 +1,7 @@
 """The daemon: runs its parts, connects them to the platform, stops them gracefully."""
 
 import logging
-import secrets
 import signal
-import time
 from random import Random
 from typing import Any
 
@@ -20,6 +18,7 @@
 from .control import ControlFault
 from .diagnostics import Diagnostics
 from .gaps import GapMonitor
+from .incarnation import make_incarnation
 from .metrics import AUDIT_EVENTS, LINK_FAULTS, PLATFORM_READS, Metrics
 from .operators import (
     OperatorApp,
@@ -43,19 +42,11 @@
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
-_NS_PER_MS = 1_000_000
-INCARNATION_RANDOM_BITS = 5
 RESULT_BUFFER = 16
 STOP_POLL_MS = 20
 LINK_FAULT_REASONS = frozenset(fault.value for fault in (*FrameFault, ControlFault.GARBLED))
 
 
-def make_incarnation() -> int:
-    """Return a number that rises with each start on one VM, also over a reboot."""
-    now_ms = time.time_ns() // _NS_PER_MS
-    return now_ms << INCARNATION_RANDOM_BITS | secrets.randbits(INCARNATION_RANDOM_BITS)
-
-
 class Daemon:
     """One daemon and everything that it owns.
 
--- a/libs/daemon/src/wisteriaproxy/backend.py
+++ b/libs/daemon/src/wisteriaproxy/backend.py
@@ -3,71 +3,69 @@
 import anyio
 import attrs
 
-from wisteria_core import Clock, Priority, Refusal
-from wisteria_wire import CallHead, HttpCall, HttpClientPool, collect_body, encode_request
+from wisteria_core import Clock, Refusal, RunState
+from wisteria_wire import HttpCall, HttpClientPool, collect_body, encode_request
 
 from .calls import RunningCall
-from .headers import (
-    HEADER_ACCOUNT,
-    HEADER_CALL_TOKEN,
-    HEADER_DEADLINE_MS,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_PRIORITY,
-    HEADER_REQUEST_ID,
-)
+from .dialect import BackendDialect, OwnBackendDialect
 from .settings import BackendSettings
 
 _STATUS_OK = 200
 _CONNECT_CHECK_S = 0.5
-_PRIORITY_NAMES = {priority: priority.name.lower() for priority in Priority}
-
-
-def make_backend_headers(
-    head: CallHead, call: RunningCall, authority: str, remaining_ms: int
-) -> tuple[str, ...]:
-    """Return the headers that the backend server sees, names and values in turn."""
-    own = (
-        "host",
-        authority,
-        HEADER_CALL_TOKEN,
-        call.token,
-        HEADER_ACCOUNT,
-        head.account,
-        HEADER_PRIORITY,
-        _PRIORITY_NAMES[head.priority],
-        HEADER_DEADLINE_MS,
-        str(max(remaining_ms, 0)),
-        HEADER_REQUEST_ID,
-        head.request_id,
-    )
-    if not head.idempotency_key:
-        return own + head.headers
-    return (*own, HEADER_IDEMPOTENCY_KEY, head.idempotency_key, *head.headers)
+_DRAIN_LIMIT_S = 0.05
+"""Time given to the body of a refused answer: it comes with the head."""
+_MAX_DRAINED_BYTES = 4_096
 
 
 @attrs.define(eq=False)
 class BackendServer:
-    """Sends calls to the backend server over kept connections."""
+    """Sends calls to the backend server over kept connections.
+
+    Parameters
+    ----------
+    allows_unframed : bool
+        Whether an answer without length is whole when its connection is closed in order.
+    """
 
     settings: BackendSettings
     clock: Clock
+    dialect: BackendDialect = attrs.field(factory=OwnBackendDialect)
+    allows_unframed: bool = False
     _pool: HttpClientPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._pool = HttpClientPool(
-            self.settings.host, self.settings.port, self.settings.max_connections, self.clock
+            self.settings.host,
+            self.settings.port,
+            self.settings.max_connections,
+            self.clock,
+            self.allows_unframed,
         )
 
     async def send(self, call: RunningCall) -> HttpCall | Refusal:
         """Send a call and return it once the head of its answer has arrived."""
         head = call.head
         remaining_ms = call.deadline_at_ms - self.clock.now_ms()
-        headers = make_backend_headers(head, call, self._pool.authority, remaining_ms)
+        headers = self.dialect.make_headers(call, self._pool.authority, remaining_ms)
         # an answer to HEAD has a length and no body, which a parser that does not know the
         # method waits for; the body of GET is dropped at the caller's side
         method = "GET" if head.method == "HEAD" else head.method
         data = encode_request(method, head.target, headers, head.body)
-        return await self._pool.send(data, fresh=not head.repeatable)
+        http_call = await self._pool.send(data, fresh=not head.repeatable)
+        if isinstance(http_call, Refusal):
+            return http_call
+        refusal = self.dialect.check_answer(call, http_call.answer)
+        if refusal is None:
+            return http_call
+        if refusal.run_state is RunState.NOT_RUN:
+            await self._drain(http_call)
+        http_call.cancel()
+        return refusal
+
+    async def _drain(self, http_call: HttpCall) -> None:
+        """Read the rest of a small refused answer, so that its connection can be kept."""
+        with anyio.move_on_after(_DRAIN_LIMIT_S):
+            await collect_body(http_call.answer.body, _MAX_DRAINED_BYTES)
 
     async def read_health(self, max_bytes: int) -> bytes | Refusal:
         """Return the body of the health endpoint, empty when it answers with an error."""
--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -1,11 +1,12 @@
 """The port for callers: accepts connections and starts a task for each request."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 from anyio.abc import TaskGroup
 
-from wisteria_wire import HttpRequest, HttpServerConnection, make_caller_context
+from wisteria_wire import CALLER_BACKLOG, CallerLimits, HttpRequest, HttpServerConnection, make_caller_context
 
 from .entry import EntryPort
 from .settings import TlsSettings
@@ -17,17 +18,19 @@
 
     entry: EntryPort
     tasks: TaskGroup
-    tls: TlsSettings
+    tls: TlsSettings | None
+    read_limits: Callable[[], CallerLimits] = CallerLimits
     _connections: set[HttpServerConnection] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
     async def async_setup(self, host: str, port: int) -> int:
         """Listen and return the port."""
         context = None
-        if self.tls.caller_certificate is not None and self.tls.caller_key is not None:
-            context = make_caller_context(self.tls.caller_certificate, self.tls.caller_key)
+        tls = self.tls
+        if tls is not None and tls.caller_certificate is not None and tls.caller_key is not None:
+            context = make_caller_context(tls.caller_certificate, tls.caller_key)
         self._server = await asyncio.get_running_loop().create_server(
-            self._make_connection, host, port, ssl=context
+            self._make_connection, host, port, ssl=context, backlog=CALLER_BACKLOG
         )
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -39,7 +42,7 @@
             connection.close_when_idle()
 
     def _make_connection(self) -> HttpServerConnection:
-        return HttpServerConnection(self._start, self._connections)
+        return HttpServerConnection(self._start, self._connections, self.read_limits)
 
     def _start(self, request: HttpRequest) -> None:
         self.tasks.start_soon(self.entry.handle, request)
--- a/libs/daemon/src/wisteriaproxy/control/kinds.py
+++ b/libs/daemon/src/wisteriaproxy/control/kinds.py
@@ -25,6 +25,8 @@
 )
 from wisteria_routing import CrashReport, SuspicionCleared
 
+from ..mesh.messages import DocumentAsk, PeerNews, PublishedDocument
+
 # Numbers are never reused; the fields of a message only grow at the end.
 KINDS: dict[int, type[Any]] = {
     1: BorrowRequest,
@@ -48,5 +50,8 @@
     40: RunEnded,
     50: Heartbeat,
     51: HeartbeatReply,
+    60: PeerNews,
+    61: DocumentAsk,
+    62: PublishedDocument,
 }
 NUMBERS: dict[type[Any], int] = {cls: number for number, cls in KINDS.items()}
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -1,45 +1,29 @@
 """The entry side: takes a caller's request, decides whether it may run, sends it on."""
 
 import logging
-import secrets
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 import attrs
 
 from wisteria_admission import ChainLevels, shed_rank
 from wisteria_config import Document, Route
-from wisteria_core import Clock, Refusal, ResultCode, RunState, http_status
+from wisteria_core import Clock, Refusal, ResultCode, RunState
 from wisteria_limits import Admitted
-from wisteria_routing import RetryAllowance
+from wisteria_routing import RetryAllowance, TrafficSplitter
 from wisteria_wire import AnswerHead, CallHead, HttpRequest
 
-from .answers import (
-    encode_problem,
-    head_to_refusal,
-    make_answer_headers,
-    make_problem_headers,
-)
-from .calls import CallRegistry
+from .answers import head_to_refusal
+from .dialect import CallerDialect
 from .downloads import Relay
 from .forward import Forwarded, Forwarder, has_failed
-from .headers import (
-    HEADER_DEADLINE_MS,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_REQUEST_ID,
-    filter_request_headers,
-)
-from .identify import Caller, identify_caller
+from .identify import Caller
 from .logs import ATTR_REQUEST_ID
 from .metrics import Metrics
-from .once_router import OnceRouter
-from .rates import Rates
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
-_REQUEST_ID_BYTES = 12
-_MAX_REQUEST_ID_CHARS = 128
-_MAX_IDEMPOTENCY_KEY_CHARS = 255
 _MAX_HOPS = 32
 WITHDRAWAL_GRACE_MS = 1_000
 _NO_ROUTE = "none"
@@ -52,13 +36,39 @@
 STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
 
 
+class RateAuthority(Protocol):
+    """Keeps client accounts to their rates."""
+
+    async def admit(self, account: str) -> Admitted | Refusal:
+        """Take one call's token."""
+
+    def refund(self, admitted: Admitted) -> None:
+        """Give a token back because nothing ran."""
+
+
+class CallRouter(Protocol):
+    """Sends a call on to a serving daemon until it is answered or given up."""
+
+    async def forward(
+        self, head: CallHead, deadline_at_ms: int, allowance: RetryAllowance
+    ) -> Forwarded:
+        """Return the outcome of the call."""
+
+
 @attrs.frozen(eq=False)
 class Plan:
-    """A request that may run: for whom, under which policy, until when."""
+    """A request that may run: for whom, under which policy, until when.
+
+    Parameters
+    ----------
+    service : str
+        Service that answers: the route's, or the one drawn from its split.
+    """
 
     request: HttpRequest
     request_id: str
     route: Route
+    service: str
     caller: Caller
     deadline_at_ms: int
     idempotency_key: str
@@ -76,18 +86,25 @@
         Returns the configuration in force, or None before the first one.
     check_ready : callable
         Returns the refusal of a daemon that may not take calls yet, or None.
+    once : CallRouter
+        Sends calls that must not run twice.
+    answer_grace_ms : int
+        Time beyond the deadline for which the answer of the serving daemon is awaited, which
+        knows whether the call ran, in milliseconds.
     """
 
-    registry: CallRegistry
+    dialect: CallerDialect
     forwarder: Forwarder
-    once: OnceRouter
-    rates: Rates
+    once: CallRouter
+    rates: RateAuthority
     levels: ChainLevels
     metrics: Metrics
     clock: Clock
     read_document: Callable[[], Document | None]
     check_ready: Callable[[], Refusal | None]
     is_stopping: bool = False
+    answer_grace_ms: int = 0
+    splitter: TrafficSplitter = attrs.field(factory=TrafficSplitter)
     _open: set[Plan] = attrs.field(factory=set)
 
     @property
@@ -97,7 +114,7 @@
 
     async def handle(self, request: HttpRequest) -> None:
         """Serve one request to its end; a caller that has gone cancels it."""
-        request_id = _read_request_id(request)
+        request_id = self.dialect.read_request_id(request)
         try:
             await self._handle(request, request_id)
         except Exception:
@@ -162,49 +179,43 @@
         document = self.read_document()
         if document is None:
             return NO_DOCUMENT
-        path = request.target.partition("?")[0]
-        method = "GET" if request.method == "HEAD" else request.method
-        route = document.match_route(request.method, path) or document.match_route(method, path)
+        route = self.dialect.find_route(document, request)
         if route is None:
-            return Refusal(ResultCode.UNKNOWN_ROUTE, "no route matches the method and path")
-        caller = identify_caller(document, self.registry, route, request)
+            return Refusal(ResultCode.UNKNOWN_ROUTE, "no route matches the request")
+        caller = self.dialect.identify(document, route, request)
         if isinstance(caller, Refusal):
             return caller
-        if caller.parent is None:
+        if caller.parent is None and not caller.is_internal:
             refusal = STOPPING if self.is_stopping else self.check_ready()
             if refusal is not None:
                 return refusal
-        elif caller.parent.head.hops >= _MAX_HOPS:
+        elif caller.parent is not None and caller.parent.head.hops >= _MAX_HOPS:
             return Refusal(ResultCode.BAD_REQUEST, f"a chain is at most {_MAX_HOPS} calls deep")
         deadline_at_ms = self._read_deadline(now_ms, request, route, caller)
         if isinstance(deadline_at_ms, Refusal):
             return deadline_at_ms
-        key = _read_idempotency_key(request, route)
+        key = self.dialect.read_idempotency_key(request, route)
         if isinstance(key, Refusal):
             return key
-        return Plan(request, request_id, route, caller, deadline_at_ms, key, document)
+        service = self.splitter.choose(route.id, _list_parts(route)) if route.split else route.service
+        return Plan(request, request_id, route, service, caller, deadline_at_ms, key, document)
 
-    @staticmethod
     def _read_deadline(
-        now_ms: int, request: HttpRequest, route: Route, caller: Caller
+        self, now_ms: int, request: HttpRequest, route: Route, caller: Caller
     ) -> int | Refusal:
         """Return the deadline on this daemon's clock; a child call can't outlast its parent."""
-        text = request.find_header(HEADER_DEADLINE_MS)
-        wanted_ms = route.deadline_ms
-        if text is not None:
-            if not text.isascii() or not text.isdigit() or int(text) == 0:
-                return Refusal(
-                    ResultCode.BAD_DEADLINE, f"{HEADER_DEADLINE_MS} is not a number of ms above 0"
-                )
-            wanted_ms = min(wanted_ms, int(text))
+        asked_ms = self.dialect.read_deadline_ms(request)
+        if isinstance(asked_ms, Refusal):
+            return asked_ms
+        wanted_ms = route.deadline_ms if asked_ms is None else min(route.deadline_ms, asked_ms)
         deadline_at_ms = now_ms + wanted_ms
         if caller.parent is not None:
             deadline_at_ms = min(deadline_at_ms, caller.parent.deadline_at_ms)
         return deadline_at_ms
 
-    @staticmethod
-    def _scope_deadline(now_ms: int, plan: Plan) -> float:
-        return anyio.current_time() + (plan.deadline_at_ms - now_ms) / _MS_PER_S
+    def _scope_deadline(self, now_ms: int, plan: Plan) -> float:
+        left_ms = plan.deadline_at_ms - now_ms + self.answer_grace_ms
+        return anyio.current_time() + left_ms / _MS_PER_S
 
     # serving
 
@@ -214,6 +225,10 @@
             return await self._run(
                 plan, parent.allowance, parent.head.rank, parent.head.represented
             )
+        if plan.caller.is_internal:
+            # part of a request that was admitted above
+            allowance = RetryAllowance(plan.route.retry_allowance)
+            return await self._run(plan, allowance, rank=0, represented=1)
         now_ms = self.clock.now_ms()
         account = plan.caller.account
         priority = plan.route.priority
@@ -261,10 +276,10 @@
         return CallHead(
             request_id=parent.request_id if parent else plan.request_id,
             route_id=route.id,
-            service=route.service,
+            service=plan.service,
             method=request.method,
             target=request.target,
-            headers=filter_request_headers(request.headers),
+            headers=self.dialect.make_request_headers(request, caller),
             account=caller.account,
             key_id=caller.key_id,
             key_digest=caller.key_digest,
@@ -302,7 +317,7 @@
         if head.code is not ResultCode.OK:
             return self._answer_refusal(plan.request, plan.request_id, head_to_refusal(head))
         head = attrs.evolve(head, spent=forwarded.retries)
-        headers = make_answer_headers(head, plan.request_id)
+        headers = self.dialect.make_answer_headers(head, plan.request_id)
         if head.complete:
             plan.request.exchange.answer(head.status, headers, head.body)
             return ResultCode.OK
@@ -312,9 +327,8 @@
     def _answer_refusal(
         self, request: HttpRequest, request_id: str, refusal: Refusal
     ) -> ResultCode:
-        headers = make_problem_headers(refusal, request_id)
-        body = encode_problem(refusal, request_id)
-        request.exchange.answer(http_status(refusal.code), headers, body)
+        answer = self.dialect.make_refusal(refusal, request_id)
+        request.exchange.answer(answer.status, answer.headers, answer.body)
         return refusal.code
 
     def _give_up(self, request: HttpRequest, request_id: str) -> None:
@@ -364,26 +378,5 @@
             _LOGGER.debug("call_ended", extra=extra)
 
 
-def _read_request_id(request: HttpRequest) -> str:
-    """Return the caller's request id, or a new one when it gave none that is usable."""
-    text = request.find_header(HEADER_REQUEST_ID) or ""
-    if 0 < len(text) <= _MAX_REQUEST_ID_CHARS and text.isascii() and text.isprintable():
-        return text
-    return secrets.token_hex(_REQUEST_ID_BYTES)
-
-
-def _read_idempotency_key(request: HttpRequest, route: Route) -> str | Refusal:
-    if request.count_header(HEADER_IDEMPOTENCY_KEY) > 1:
-        return Refusal(ResultCode.BAD_REQUEST, "Idempotency-Key occurs more than once")
-    key = request.find_header(HEADER_IDEMPOTENCY_KEY) or ""
-    if len(key) > _MAX_IDEMPOTENCY_KEY_CHARS:
-        return Refusal(
-            ResultCode.BAD_REQUEST,
-            f"Idempotency-Key is longer than {_MAX_IDEMPOTENCY_KEY_CHARS} characters",
-        )
-    if not key and not route.repeatable:
-        return Refusal(
-            ResultCode.IDEMPOTENCY_KEY_REQUIRED,
-            "the route must not run twice: send an Idempotency-Key",
-        )
-    return key
+def _list_parts(route: Route) -> tuple[tuple[str, int], ...]:
+    return tuple((part.service, part.weight) for part in route.split)
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from wisteria_config import Document
+from wisteria_config import Document, Service
 from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState
 from wisteria_routing import Candidate, Chooser, ChooserConfig, RetryBudget, RetryConfig
 
@@ -23,6 +23,9 @@
         Whether membership takes a VM for reachable and not leaving.
     is_connected : callable
         Whether a link to a VM is open.
+    retry_slack : float or None
+        Retries beside those that calls earn, which the daemons of the list share; None where
+        each daemon has its own.
     """
 
     failure_domain: FailureDomain
@@ -30,6 +33,7 @@
     clock: Clock
     is_usable: Callable[[VmId], bool]
     is_connected: Callable[[VmId], bool]
+    retry_slack: float | None = None
     vm_list: VmList | None = None
     _vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _choosers: dict[str, Chooser] = attrs.field(factory=dict)
@@ -70,7 +74,7 @@
         earlier = self._budgets
         self._budgets = {}
         for service in document.services:
-            config = RetryConfig(ratio_milli=round(service.retry_ratio * _MILLI))
+            config = self._make_retry_config(service)
             known = earlier.get(service.name)
             if known is None or known.config != config:
                 known = RetryBudget(config)
@@ -93,6 +97,13 @@
         for service, chooser in self._choosers.items():
             chooser.update(now_ms, candidates[service])
 
+    def _make_retry_config(self, service: Service) -> RetryConfig:
+        config = RetryConfig(ratio_milli=round(service.retry_ratio * _MILLI))
+        if self.retry_slack is None:
+            return config
+        daemons = len(self.vm_list) if self.vm_list is not None else 1
+        return attrs.evolve(config, burst=max(1, int(self.retry_slack / max(1, daemons))))
+
     def _make_chooser(self, service: str) -> Chooser:
         config = ChooserConfig(max_in_flight=self._connections.get(service, MAX_IN_FLIGHT))
         return Chooser(self.failure_domain, self.random, config)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 import anyio
 import attrs
@@ -26,7 +27,6 @@
 from .answers import head_to_refusal, refusal_to_head
 from .fleet import FleetView
 from .metrics import RETRIES, Counts
-from .peers import PeerTable
 from .responders import LocalCall, Reply
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,6 +34,16 @@
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 LOCAL_WINDOW_BYTES = 262_144
 
+class PeerNotes(Protocol):
+    """Takes in what calls show of the daemons that they were sent to."""
+
+    def note_call(self, vm_id: VmId, *, was_reached: bool) -> None:
+        """Take in whether a call reached the daemon of a VM."""
+
+    def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
+        """Take in what an answer said of whether a VM takes new work."""
+
+
 BeforeSend = Callable[[], Refusal | None]
 
 
@@ -70,7 +80,7 @@
     """
 
     fleet: FleetView
-    peers: PeerTable
+    peers: PeerNotes
     links: LinkPool
     clock: Clock
     random: Random
@@ -192,8 +202,12 @@
         clock = self.forwarder.clock
         sent_at_ms = clock.now_ms()
         lent = self.allowance.lend(self._loan_id)
+        vm = self.forwarder.fleet.find_vm(vm_id)
         head = attrs.evolve(
-            self.head, allowance=lent, remaining_ms=self.deadline_at_ms - sent_at_ms
+            self.head,
+            allowance=lent,
+            remaining_ms=self.deadline_at_ms - sent_at_ms,
+            instance=vm.instance if vm is not None else "",
         )
         self.chooser.note_sent(sent_at_ms, vm_id)
         outcome = CallOutcome.CANCELLED
--- a/libs/daemon/src/wisteriaproxy/headers.py
+++ b/libs/daemon/src/wisteriaproxy/headers.py
@@ -1,6 +1,6 @@
 """Header names on the call path, and which headers may pass."""
 
-from wisteria_core import RunState
+from wisteria_core import Priority, RunState
 
 # of callers
 HEADER_AUTHORIZATION = "authorization"
@@ -28,6 +28,8 @@
     RunState.UNKNOWN: "unknown",
 }
 
+PRIORITY_NAMES = {priority: priority.name.lower() for priority in Priority}
+
 _DROPPED_REQUEST_HEADERS = frozenset(
     {
         HEADER_AUTHORIZATION,
--- a/libs/daemon/src/wisteriaproxy/identify.py
+++ b/libs/daemon/src/wisteriaproxy/identify.py
@@ -36,7 +36,9 @@
     key_id, key_digest : str
         Of the key that came with the request or with its first ancestor; empty on open routes.
     parent : RunningCall or None
-        The call that makes this one; None when it comes from outside.
+        The call that makes this one; None when it comes from outside or can't be told.
+    is_internal : bool
+        Whether a request that was admitted above makes this call, whichever one it is.
     """
 
     account: str
@@ -44,6 +46,7 @@
     key_id: str = ""
     key_digest: str = ""
     parent: RunningCall | None = None
+    is_internal: bool = False
 
 
 def identify_caller(
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -0,0 +1,491 @@
+"""The daemon in a mesh: builds its parts, feeds them what the platform publishes, stops."""
+
+import logging
+import signal
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from wisteria_admission import AdmissionConfig, AdmissionGate, ChainLevels, FixedLimiter
+from wisteria_config import Document
+from wisteria_core import Clock, FailureDomain, Refusal, ResultCode, VmId, VmList
+from wisteria_limits import DemandShares
+from wisteria_routing import CrashReport, PoisonDetector, SuspicionCleared
+from wisteria_wire import CallerLimits, CallHead, Link, LinkPool, ServedCall
+
+from ..audit import AuditTrail
+from ..backend import BackendServer
+from ..callers import CallerPort
+from ..calls import CallRegistry
+from ..control.plane import ControlPlane
+from ..crashes import CrashWatch
+from ..entry import EntryPort
+from ..fleet import FleetView
+from ..forward import Forwarder
+from ..gaps import GapMonitor
+from ..incarnation import make_incarnation
+from ..metrics import AUDIT_EVENTS, CONFIG_VERSION, IN_FLIGHT, LINK_FAULTS, READY, Metrics
+from ..responders import LocalCall
+from ..serving import ServingPort
+from ..settings import SettingsErrors, load_settings_of
+from .const import (
+    ANSWER_GRACE_MS,
+    FORGET_INTERVAL_MS,
+    NEWS_INTERVAL_MS,
+    SETTINGS_POLL_MS,
+)
+from .endpoints import (
+    PATH_METRICS,
+    PATH_STATUS,
+    Endpoint,
+    make_metrics_page,
+    make_ready_page,
+    make_status_page,
+)
+from .messages import DocumentAsk, PeerNews, PublishedDocument
+from .peers import PeerBoard
+from .rates import ShareRates
+from .settings import MeshSettings, read_address
+from .sources import Platform, Published
+
+_LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
+_STOP_POLL_S = 0.02
+_NOT_READY_RETRY_MS = 200
+_STOP_PART = 0.9
+"""Part of the grace after which calls in flight are cut, so that the daemon ends by itself."""
+ORIGIN_STORE = "store"
+
+
+class MeshDaemon:
+    """One daemon and everything that it owns.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        Checked settings.
+    settings_path : Path
+        Where they were read; looked at again when they may have changed.
+    platform : Platform
+        Source of configuration and list, and the dialects.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        settings_path: Path,
+        platform: Platform,
+        clock: Clock,
+        tasks: TaskGroup,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.tasks = tasks
+        self.stopping = anyio.Event()
+        self.published: Published | None = None
+        self.vm_list: VmList | None = None
+        self.vm_id = VmId(settings.vm.id)
+        self.incarnation = make_incarnation()
+        self.metrics = Metrics()
+        self.audit = AuditTrail(counts=self.metrics.counter(AUDIT_EVENTS))
+        self._settings_path = settings_path
+        self._opened_ms: dict[Link, int] = {}
+        self._source = platform.make_source(settings, clock, self.metrics)
+        random = Random(self.incarnation)
+        self.board = PeerBoard()
+        self.shares = DemandShares(self.vm_id)
+        self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock)
+        self.fleet = FleetView(
+            FailureDomain(settings.vm.failure_domain),
+            random,
+            clock,
+            is_usable=self._is_usable,
+            is_connected=lambda vm_id: vm_id == self.vm_id or self.links.find(vm_id) is not None,
+            retry_slack=settings.bounds.retry_slack,
+        )
+        self.control = ControlPlane(
+            self.vm_id, self.incarnation, self.links, tasks, self.fleet.find_vm
+        )
+        self.control.register(self._handle_news, PeerNews)
+        self.control.register(self._handle_ask, DocumentAsk)
+        self.control.register(self._handle_document, PublishedDocument)
+        self.gaps = GapMonitor(clock, settings.timing.loop_gap_ms, self.metrics, self._handle_gap)
+        self._build_call_path(platform, random)
+        self.ready_port = Endpoint({"*": make_ready_page(self.is_ready)})
+        self.operator_port = Endpoint(
+            {
+                PATH_METRICS: make_metrics_page(self.metrics.render),
+                PATH_STATUS: make_status_page(self.describe_status),
+            }
+        )
+        self._set_gauges()
+
+    def _build_call_path(self, platform: Platform, random: Random) -> None:
+        settings, clock = self.settings, self.clock
+        self.backend = BackendServer(
+            settings.backend.to_backend(),
+            clock,
+            platform.backend_dialect(settings),
+            allows_unframed=True,
+        )
+        crashes = CrashWatch(
+            PoisonDetector(self.vm_id, str(self.incarnation)),
+            self.backend,
+            clock,
+            lambda: self.fleet.list_service_peers(settings.vm.service, self.vm_id),
+            self.control.send,
+        )
+        self.control.register(crashes.handle_report, CrashReport, SuspicionCleared)
+        slots = settings.backend.slots
+        self.serving = ServingPort(
+            gate=AdmissionGate(
+                slots, settings.vm.service, self.vm_id, AdmissionConfig(), FixedLimiter(slots)
+            ),
+            backend=self.backend,
+            registry=CallRegistry(),
+            clock=clock,
+            vm_id=self.vm_id,
+            read_document=self._read_document,
+            check_ready=lambda: None,
+            crashes=crashes,
+        )
+        forwarder = Forwarder(
+            self.fleet, self, self.links, clock, random, self.vm_id, self._serve_locally
+        )
+        self.entry = EntryPort(
+            dialect=platform.caller_dialect(settings, lambda: self.serving.in_flight > 0),
+            forwarder=forwarder,
+            once=forwarder,
+            rates=ShareRates(self.shares, clock),
+            levels=ChainLevels(),
+            metrics=self.metrics,
+            clock=clock,
+            read_document=self._read_document,
+            check_ready=self._check_ready,
+            answer_grace_ms=ANSWER_GRACE_MS,
+        )
+        self.callers = CallerPort(self.entry, self.tasks, None, self._read_limits)
+
+    # LinkOwner
+
+    def handle_link_open(self, link: Link) -> bool:
+        """Keep the link of a peer and tell it the news."""
+        assert link.peer is not None
+        self.links.add(link)
+        self._opened_ms[link] = self.clock.now_ms()
+        self.fleet.refresh()
+        self.control.send(link.peer.vm_id, self._make_news())
+        return True
+
+    def handle_call(self, served: ServedCall, head: CallHead) -> None:
+        """Serve a call of another daemon."""
+        self.tasks.start_soon(self.serving.serve, served, head)
+
+    def handle_control(self, link: Link, kind: int, payload: bytes) -> None:
+        """Take in a control message."""
+        self.control.handle(link, kind, payload)
+
+    def handle_link_closed(self, link: Link, reason: str) -> None:
+        """Forget a link."""
+        self.links.remove(link)
+        self._opened_ms.pop(link, None)
+        self.metrics.counter(LINK_FAULTS).add((reason,))
+        if link.peer is None or self.links.find(link.peer.vm_id) is not None:
+            return
+        _LOGGER.info("peer_lost", extra={"peer": link.peer.vm_id, "reason": reason})
+        self.board.note_link_lost(link.peer.vm_id)
+        self.fleet.refresh()
+
+    # PeerNotes
+
+    def note_call(self, vm_id: VmId, *, was_reached: bool) -> None:
+        """Take in whether a call reached a daemon; the link itself says the rest."""
+
+    def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
+        """Take in what an answer said of whether a VM takes new work."""
+        if self.board.note_leaving(self.clock.now_ms(), vm_id, is_leaving):
+            _LOGGER.info("peer_leaving", extra={"peer": vm_id, "leaving": is_leaving})
+            self.fleet.refresh()
+
+    # Listener
+
+    def put_document(self, published: Published, origin: str) -> None:
+        """Put a configuration in force unless the one in force is as new."""
+        document = published.document
+        known = self.published.document.version if self.published is not None else 0
+        if document.version <= known:
+            return
+        now_ms = self.clock.now_ms()
+        self.published = published
+        self.fleet.apply_document(document)
+        self.shares.apply_rates(now_ms, published.rates)
+        ended = self.entry.end_withdrawn(document) + self.serving.end_withdrawn(document)
+        _LOGGER.info(
+            "configuration_in_force",
+            extra={"version": document.version, "was": known, "origin": origin, "ended": ended},
+        )
+        self.audit.record(
+            "configuration",
+            "document",
+            "accepted",
+            f"published, read from {origin}",
+            from_version=known,
+            to_version=document.version,
+        )
+        self._spread_news()
+
+    def put_list(self, vm_list: VmList) -> None:
+        """Put a list of VMs in force."""
+        before = {vm.vm_id: vm for vm in self.vm_list} if self.vm_list is not None else {}
+        after = {vm.vm_id: vm for vm in vm_list}
+        self.vm_list = vm_list
+        self.fleet.apply_list(vm_list)
+        if self.published is not None:
+            self.fleet.apply_document(self.published.document)
+        self.shares.set_daemons(len(vm_list))
+        own = after.get(self.vm_id)
+        if own is not None and own.slots and own.slots != self.serving.gate.slots:
+            self.serving.gate.set_slots(self.clock.now_ms(), own.slots)
+        for vm_id in before.keys() | after.keys():
+            if before.get(vm_id) != after.get(vm_id):
+                self._log_vm(vm_id, after)
+        for vm in vm_list:
+            if vm.vm_id != self.vm_id and self.links.find(vm.vm_id) is None:
+                self.tasks.start_soon(self.links.obtain, vm)
+
+    @staticmethod
+    def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
+        vm = after.get(vm_id)
+        state = vm.state.value if vm is not None else "gone"
+        instance = vm.instance if vm is not None else ""
+        _LOGGER.info("vm_changed", extra={"vm": vm_id, "state": state, "instance": instance})
+
+    # peers
+
+    def _handle_news(self, sender: VmId, _incarnation: int, news: PeerNews) -> None:
+        now_ms = self.clock.now_ms()
+        if self.board.note_news(now_ms, sender, news):
+            _LOGGER.info("peer_leaving", extra={"peer": sender, "leaving": news.leaving})
+            self.fleet.refresh()
+        self.shares.note_report(now_ms, sender, news.demands)
+        version = self._read_version()
+        if news.config_version > version:
+            self.control.send(sender, DocumentAsk(version))
+
+    def _handle_ask(self, sender: VmId, _incarnation: int, ask: DocumentAsk) -> None:
+        if self.published is not None and self.published.document.version > ask.above:
+            version = self.published.document.version
+            self.control.send(sender, PublishedDocument(version, self.published.content))
+
+    def _handle_document(self, sender: VmId, _incarnation: int, found: PublishedDocument) -> None:
+        if found.version <= self._read_version():
+            return
+        published = self._source.decode_document(found.content)
+        if published is None:
+            _LOGGER.warning(
+                "document_unreadable", extra={"peer": sender, "version": found.version}
+            )
+            return
+        self.put_document(published, sender)
+
+    def _make_news(self) -> PeerNews:
+        return PeerNews(
+            self._read_version(), self.serving.is_leaving, self.shares.report(self.clock.now_ms())
+        )
+
+    def _spread_news(self) -> None:
+        news = self._make_news()
+        for link in self.links.list_links():
+            if link.peer is not None:
+                self.control.send(link.peer.vm_id, news)
+
+    async def _run_news(self) -> None:
+        """Tell every peer the news, close silent links, dial missing ones; until cancelled."""
+        swept_ms = 0
+        while True:
+            await anyio.sleep(NEWS_INTERVAL_MS / _MS_PER_S)
+            now_ms = self.clock.now_ms()
+            for link, opened_ms in list(self._opened_ms.items()):
+                if link.peer and self.board.is_silent(now_ms, link.peer.vm_id, opened_ms):
+                    link.close("silent")
+            self._spread_news()
+            if now_ms - swept_ms >= FORGET_INTERVAL_MS:
+                swept_ms = now_ms
+                self.shares.forget_silent(now_ms)
+                for vm in self.vm_list or ():
+                    if vm.vm_id != self.vm_id and self.links.find(vm.vm_id) is None:
+                        self.tasks.start_soon(self.links.obtain, vm)
+
+    # running
+
+    async def run(self) -> bool:
+        """Run until a stop is asked for; return whether every call was finished."""
+        listen = self.settings.listen
+        await self.ready_port.async_setup(listen.ready)
+        await self.operator_port.async_setup(listen.operators)
+        await self.links.async_setup(*read_address(listen.peers))
+        await self.callers.async_setup(*read_address(listen.callers))
+        for run in (self.gaps.run, self.serving.run_ticks, self._run_news, self._watch_settings):
+            self.tasks.start_soon(run)
+        self.tasks.start_soon(self._source.run, self)
+        _LOGGER.info(
+            "daemon_started",
+            extra={
+                "vm": self.vm_id,
+                "service": self.settings.vm.service,
+                "incarnation": self.incarnation,
+            },
+        )
+        await self.stopping.wait()
+        is_clean = await self._finish()
+        self.tasks.cancel_scope.cancel()
+        return is_clean
+
+    async def _finish(self) -> bool:
+        """Refuse new work, let calls in flight end."""
+        self.entry.is_stopping = True
+        self.serving.begin_stop()
+        self._spread_news()
+        _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
+        await self.callers.async_unload()
+        with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_PART):
+            while self._count_in_flight() > 0:
+                await anyio.sleep(_STOP_POLL_S)
+        cut = self._count_in_flight()
+        if cut:
+            _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
+            self.entry.cancel_all()
+            self.serving.cancel_all()
+            await anyio.sleep(_STOP_POLL_S)
+        await self.links.async_unload()
+        await self.backend.async_unload()
+        await self.ready_port.async_unload()
+        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
+        return cut == 0
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+        self.stopping.set()
+
+    def is_ready(self) -> bool:
+        """Return whether callers may send new work."""
+        return not self.stopping.is_set() and self._check_ready() is None
+
+    def describe_status(self) -> dict[str, object]:
+        """Return what operators see; holds no secret."""
+        now_ms = self.clock.now_ms()
+        return {
+            "vm": self.vm_id,
+            "service": self.settings.vm.service,
+            "version": self._read_version(),
+            "ready": self.is_ready(),
+            "gate": self.serving.gate.describe(),
+            "rates": self.shares.describe(now_ms),
+            "peers": self.board.describe(now_ms),
+        }
+
+    def reload_settings(self) -> None:
+        """Read the settings file again and take up what can change without a restart."""
+        loaded = load_settings_of(MeshSettings, self._settings_path)
+        if isinstance(loaded, SettingsErrors):
+            _LOGGER.error("settings_refused", extra={"errors": str(loaded)})
+            return
+        if loaded == self.settings:
+            return
+        is_same = attrs.evolve(loaded, log=self.settings.log) == self.settings
+        logging.getLogger(__package__.partition(".")[0]).setLevel(loaded.log.level.upper())
+        self.settings = loaded
+        _LOGGER.info("settings_reloaded", extra={"needs_restart": not is_same})
+
+    async def _watch_settings(self) -> None:
+        """Look at the settings file again and again; until cancelled."""
+        seen = _read_mtime(self._settings_path)
+        while True:
+            await anyio.sleep(SETTINGS_POLL_MS / _MS_PER_S)
+            found = _read_mtime(self._settings_path)
+            if found != seen:
+                seen = found
+                self.reload_settings()
+
+    # own
+
+    def _serve_locally(self, call: LocalCall, head: CallHead) -> None:
+        self.tasks.start_soon(self.serving.serve, call, head)
+
+    def _count_in_flight(self) -> int:
+        return self.entry.in_flight + self.serving.in_flight
+
+    def _is_usable(self, vm_id: VmId) -> bool:
+        if vm_id == self.vm_id:
+            return not self.serving.is_leaving
+        return not self.board.is_leaving(vm_id)
+
+    def _read_document(self) -> Document | None:
+        return self.published.document if self.published is not None else None
+
+    def _read_version(self) -> int:
+        return self.published.document.version if self.published is not None else 0
+
+    def _read_limits(self) -> CallerLimits:
+        if self.published is None:
+            return CallerLimits()
+        limits = self.published.document.limits
+        return CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    def _check_ready(self) -> Refusal | None:
+        if self.published is None:
+            return _not_ready("the configuration in force has not been learned yet")
+        if self.vm_list is None:
+            return _not_ready("the list of VMs has not been read yet")
+        return None
+
+    def _handle_gap(self) -> None:
+        """Close the links: their other ends may have given them up meanwhile."""
+        for link in self.links.list_links():
+            link.close("the process was paused")
+
+    def _set_gauges(self) -> None:
+        self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
+        self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self._read_version()))
+        self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
+
+
+def _read_mtime(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError as error:
+        _LOGGER.warning("settings_unreadable", extra={"cause": type(error).__name__})
+        return 0
+
+
+def _not_ready(reason: str) -> Refusal:
+    return Refusal(ResultCode.NOT_READY, reason, retry_after_ms=_NOT_READY_RETRY_MS)
+
+
+async def run_mesh_daemon(settings: MeshSettings, path: Path, platform: Platform) -> bool:
+    """Run a daemon until it is told to stop; return whether the stop cut off no call."""
+    results: list[bool] = []
+    async with anyio.create_task_group() as tasks:
+        daemon = MeshDaemon(settings, path, platform, Clock(), tasks)
+        tasks.start_soon(_watch_signals, daemon)
+        results.append(await daemon.run())
+    return bool(results) and results[0]
+
+
+async def _watch_signals(daemon: MeshDaemon) -> None:
+    """Stop gracefully on a request to end, read the settings again on a hangup."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            if received == signal.SIGHUP:
+                daemon.reload_settings()
+            else:
+                daemon.start_drain()
--- /dev/null
+++ b/libs/daemon/src/wisteriaproxy/mesh/messages.py
@@ -0,0 +1,39 @@
+"""Messages between the daemons of a mesh."""
+
+import attrs
+
+from wisteria_limits import AccountDemand
+
+
+@attrs.frozen
+class PeerNews:
+    """What a daemon says of itself several times a second.
+
+    Parameters
+    ----------
+    config_version : int
+        Version of the configuration in force; 0 before the first one.
+    leaving : bool
+        Whether it takes no new work.
+    demands : tuple of AccountDemand
+        Calls that callers have offered to it.
+    """
+
+    config_version: int
+    leaving: bool
+    demands: tuple[AccountDemand, ...] = ()
+
+
+@attrs.frozen
+class DocumentAsk:
+    """Asks a peer for the configuration that it has in force, when newer than `above`."""
+
+    above: int
+
+
+@attrs.frozen
+class PublishedDocument:
+    """A configuration as the platform publishes it."""
+
+    version: int
+    content: bytes
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -51,6 +51,7 @@
 from .configuration import ConfigurationKeeper
 from .control.plane import ControlPlane
 from .crashes import CrashWatch
+from .dialect import OwnCallerDialect
 from .entry import EntryPort
 from .fleet import FleetView
 from .forward import Forwarder
@@ -272,7 +273,7 @@
     shared.slots.keepers[SlotFamily.LEDGER] = once
     shared.control.register(once.handle_ended, RunEnded)
     entry = EntryPort(
-        registry=registry,
+        dialect=OwnCallerDialect(registry),
         forwarder=forwarder,
         once=OnceRouter(forwarder, shared.slots, clock, identity.random),
         rates=shared.rates,
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -25,7 +25,6 @@
 from .backend import BackendServer
 from .calls import CallRegistry, RunningCall
 from .crashes import CrashWatch
-from .headers import filter_answer_headers
 from .logs import ATTR_REQUEST_ID
 from .metrics import BACKEND_CALLS, Counts
 from .responders import Responder
@@ -272,7 +271,7 @@
             return
         served.outcome = Outcome.CANCELLED if call.child_failed else _judge(answer.status)
         length = None if answer.length is None or inline is not None else answer.length
-        headers = filter_answer_headers(answer.headers)
+        headers = self.backend.dialect.make_answer_headers(answer)
         head = AnswerHead(
             status=answer.status,
             headers=headers if length is None else (*headers, "content-length", str(length)),
--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar, cast
 
 import attrs
 import cattrs
@@ -38,6 +38,9 @@
 )
 
 
+S = TypeVar("S")
+
+
 @attrs.frozen
 class SettingsError:
     """One thing wrong with the settings.
@@ -198,17 +201,18 @@
     converter: cattrs.Converter
     errors: list[SettingsError] = attrs.field(factory=list)
 
-    def read(self, document: dict[str, Any]) -> Settings | None:
-        """Return the settings, or None when an error was found."""
-        sections = attrs.fields(Settings)
+    def read(self, document: dict[str, Any], kind: type[S]) -> S | None:
+        """Return the settings of a kind, or None when an error was found."""
+        sections = attrs.fields(cast(Any, kind))
         self._refuse_unknown("", document, [section.name for section in sections])
         values = {}
         for section in sections:
             values[section.name] = self._read_section(section, document.get(section.name))
         if self.errors:
             return None
-        settings = Settings(**values)
-        self._check_together(settings)
+        settings = kind(**values)
+        if isinstance(settings, Settings):
+            self._check_together(settings)
         return None if self.errors else settings
 
     def _read_section(self, section: "attrs.Attribute[Any]", table: Any) -> Any:
@@ -263,11 +267,13 @@
         self.errors.append(SettingsError(key, problem, allowed))
 
 
-def parse_settings(text: str, folder: Path) -> Settings | SettingsErrors:
-    """Return the settings that `text` holds, or everything that is wrong with it.
+def parse_settings_of(kind: type[S], text: str, folder: Path) -> S | SettingsErrors:
+    """Return the settings of a kind that `text` holds, or everything that is wrong with it.
 
     Parameters
     ----------
+    kind : type
+        Class whose fields are sections.
     text : str
         The TOML document.
     folder : Path
@@ -278,15 +284,25 @@
     except tomllib.TOMLDecodeError as error:
         return SettingsErrors((SettingsError("(file)", str(error), "a TOML document"),))
     reader = _Reader(_make_converter(folder))
-    settings = reader.read(document)
+    settings = reader.read(document, kind)
     return settings if settings is not None else SettingsErrors(tuple(reader.errors))
 
 
+def parse_settings(text: str, folder: Path) -> Settings | SettingsErrors:
+    """Return the settings that `text` holds, or everything that is wrong with it."""
+    return parse_settings_of(Settings, text, folder)
+
+
 def load_settings(path: Path) -> Settings | SettingsErrors:
     """Return the settings in the file `path`, or everything that is wrong with them."""
+    return load_settings_of(Settings, path)
+
+
+def load_settings_of(kind: type[S], path: Path) -> S | SettingsErrors:
+    """Return the settings of a kind in the file `path`, or everything that is wrong with them."""
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         reason = error.strerror if isinstance(error, OSError) else "is not UTF-8"
         return SettingsErrors((SettingsError(str(path), str(reason), "a readable TOML file"),))
-    return parse_settings(text, path.parent)
+    return parse_settings_of(kind, text, path.parent)
--- a/libs/daemon/src/wisteriaproxy/settings_rules.py
+++ b/libs/daemon/src/wisteriaproxy/settings_rules.py
@@ -57,11 +57,23 @@
     return Rule(f"{low} to {high} {unit}".rstrip(), lambda value: low <= value <= high)
 
 
+def split_address(value: str) -> tuple[str, int] | None:
+    """Return IP number and port of an address such as ``10.0.0.1:8080``, None for others."""
+    host, _, port = value.rpartition(":")
+    if not _is_ip(host) or not port.isascii() or not port.isdigit():
+        return None
+    return (host, int(port)) if 0 < int(port) <= _MAX_PORT else None
+
+
 NAME = Rule(
     "1 to 63 of a-z, 0-9, '.', '_' and '-', a letter or digit first and last",
     lambda value: _NAME.fullmatch(value) is not None,
 )
 IP_NUMBER = Rule("an IPv4 or IPv6 number", _is_ip)
+ADDRESS = Rule(
+    "an IP number and a port, such as 10.0.0.1:8080",
+    lambda value: split_address(value) is not None,
+)
 PORT = between(1, _MAX_PORT, "")
 URL_PATH = Rule("a path that starts with '/'", lambda value: value.startswith("/"))
 URL = Rule("an http or https URL whose host is an IP number", _is_url)
--- a/libs/limits/src/wisteria_limits/__init__.py
+++ b/libs/limits/src/wisteria_limits/__init__.py
@@ -21,22 +21,26 @@
     Step,
 )
 from .owner import SliceOwner
+from .shares import AccountDemand, DemandShares, ShareConfig
 from .slices import slices_for
 
 __all__ = [
     "SLICES_PER_DOMAIN",
     "AccountBudget",
+    "AccountDemand",
     "AccountRate",
     "Admitted",
     "BorrowItem",
     "BorrowReply",
     "BorrowRequest",
     "Decided",
+    "DemandShares",
     "Grant",
     "LimitsConfig",
     "LoanReport",
     "Pending",
     "Send",
+    "ShareConfig",
     "SliceBucket",
     "SliceId",
     "SliceOwner",
--- a/libs/routing/src/wisteria_routing/__init__.py
+++ b/libs/routing/src/wisteria_routing/__init__.py
@@ -9,6 +9,7 @@
 from .models import Attempt, CallOutcome, Candidate, GiveUp, HealthReport, Retry, ServerLoad
 from .poison import CrashReport, PoisonDetector, SuspicionCleared
 from .retries import decide_retry, merge_run_states
+from .split import TrafficSplitter
 
 __all__ = [
     "MAX_CRASHES",
@@ -29,6 +30,7 @@
     "RetryConfig",
     "ServerLoad",
     "SuspicionCleared",
+    "TrafficSplitter",
     "decide_retry",
     "merge_run_states",
 ]
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -1,20 +1,22 @@
 """Framed, authenticated links between daemons and HTTP on the call path."""
 
 from .body import BodyStream, collect_body
-from .const import INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
+from .const import CALLER_BACKLOG, INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
 from .http_client import HttpAnswer, HttpCall, HttpClientPool, encode_request
-from .http_server import HttpExchange, HttpRequest, HttpServerConnection
+from .http_server import CallerLimits, HttpExchange, HttpRequest, HttpServerConnection
 from .link import Link, LinkOwner, PendingCall, ServedCall
 from .models import AnswerHead, CallHead, Hello
 from .pool import LinkPool
 from .tls import PeerMaterial, make_caller_context
 
 __all__ = [
+    "CALLER_BACKLOG",
     "INLINE_BODY_BYTES",
     "MAX_REQUEST_BODY_BYTES",
     "AnswerHead",
     "BodyStream",
     "CallHead",
+    "CallerLimits",
     "Hello",
     "HttpAnswer",
     "HttpCall",
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -69,6 +69,7 @@
     message.weight = head.weight
     message.repeatable = head.repeatable
     message.represented = head.represented
+    message.instance = head.instance
     return bytes(message.to_bytes())
 
 
@@ -103,6 +104,7 @@
                 weight=message.weight,
                 repeatable=message.repeatable,
                 represented=message.represented,
+                instance=message.instance,
             )
     except (capnp.KjException, ValueError):
         return FrameFault.GARBLED
--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 towards the backend server of the VM, over a bounded pool of connections."""
 
 import asyncio
+import re
 from collections import deque
 from typing import cast
 
@@ -15,12 +16,16 @@
     DEFAULT_CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_CONNECTION_MS,
     FRESH_CONNECTION_MS,
+    KEEP_ALIVE_MARGIN_MS,
     MAX_HEADER_BYTES,
     WINDOW_BYTES,
 )
+from .liveness import bound_silence
 
 _MS_PER_S = 1_000
 _INFORMATIONAL = 200
+_BODILESS_STATUSES = frozenset({204, 304})
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d{1,6})", re.IGNORECASE)
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -94,6 +99,10 @@
         self._headers: list[str] = []
         self._header_bytes = 0
         self._length: int | None = None
+        self._is_chunked = False
+        self._is_complete = False
+        self._was_closed_by_peer = False
+        self.idle_limit_ms = DEFAULT_IDLE_CONNECTION_MS
 
     @property
     def is_usable(self) -> bool:
@@ -104,9 +113,10 @@
         """Take note of the connection."""
         # uvloop's TLS transport is no subclass of asyncio.Transport
         self._transport = cast(asyncio.Transport, transport)
+        bound_silence(self._transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what has arrived."""
+        """Parse what has arrived; bytes beyond the awaited answer end the connection."""
         if self._awaited is None:
             self.abort()
             return
@@ -115,11 +125,18 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError):
             self.abort()
 
+    def eof_received(self) -> bool:
+        """Note that the backend server closed the connection in an orderly way."""
+        self._was_closed_by_peer = True
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request that is under way."""
         self._lost = True
         self._pool.forget(self)
-        if self._body is not None:
+        if self._body is not None and self._ends_with_connection and self._was_closed_by_peer:
+            self._body.finish()
+        elif self._body is not None:
             self._body.fail(CUT_IN_ANSWER)
         elif self._awaited is not None:
             self._settle(CUT_BEFORE_ANSWER)
@@ -129,6 +146,7 @@
         assert self._transport is not None
         self._parser = httptools.HttpResponseParser(self)
         self._body = None
+        self._is_complete = False
         awaited = _Awaited()
         self._awaited = awaited
         self._transport.write(data)
@@ -149,10 +167,13 @@
     # httptools
 
     def on_message_begin(self) -> None:
-        """Start a new answer."""
+        """Start a new answer; a second one belongs to no request."""
+        if self._is_complete:
+            raise ValueError("bytes after the answer")
         self._headers = []
         self._header_bytes = 0
         self._length = None
+        self._is_chunked = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header of the answer."""
@@ -163,6 +184,10 @@
         if key == "content-length":
             self._length = int(value)
             return
+        if key == "transfer-encoding":
+            self._is_chunked = True
+        elif key == "keep-alive":
+            self._note_keep_alive(value.decode("latin-1"))
         if key not in _HOP_HEADERS:
             self._headers += (key, value.decode("latin-1"))
 
@@ -189,12 +214,28 @@
         if self._body is None:
             return
         body, self._body = self._body, None
+        self._is_complete = True
         body.finish()
         self._awaited = None
         if not self._parser.should_keep_alive():
             self.close()
         self._pool.release(self)
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether the answer states no length and may end with its connection."""
+        if not self._pool.allows_unframed:
+            return False
+        bodiless = self._parser.get_status_code() in _BODILESS_STATUSES
+        return self._length is None and not self._is_chunked and not bodiless
+
+    def _note_keep_alive(self, text: str) -> None:
+        """Use the connection a little shorter than the backend server keeps it open."""
+        stated = _KEEP_ALIVE_TIMEOUT.search(text)
+        if stated is not None:
+            limit_ms = max(0, int(stated[1]) * _MS_PER_S - KEEP_ALIVE_MARGIN_MS)
+            self.idle_limit_ms = min(DEFAULT_IDLE_CONNECTION_MS, limit_ms)
+
     def _resume(self, count: int) -> None:
         self._buffered -= count
         if self._buffered <= WINDOW_BYTES and self.is_usable and self._transport is not None:
@@ -218,9 +259,19 @@
         Bound on open connections; a request beyond it waits for a free one.
     clock : Clock
         Source of milliseconds.
+    allows_unframed : bool
+        Whether an answer without length is whole when its connection is closed in order.
     """
 
-    def __init__(self, host: str, port: int, max_connections: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_connections: int,
+        clock: Clock,
+        allows_unframed: bool = False,
+    ) -> None:
+        self.allows_unframed = allows_unframed
         self._host = host
         self._port = port
         self._clock = clock
@@ -284,10 +335,12 @@
             self._places.release()
 
     def _take_idle(self, fresh: bool) -> HttpClientConnection | None:
-        limit_ms = FRESH_CONNECTION_MS if fresh else DEFAULT_IDLE_CONNECTION_MS
         now_ms = self._clock.now_ms()
         while self._idle:
             connection = self._idle.pop()
+            limit_ms = connection.idle_limit_ms
+            if fresh:
+                limit_ms = min(limit_ms, FRESH_CONNECTION_MS)
             if connection.is_usable and now_ms - connection.idle_since_ms <= limit_ms:
                 return connection
             connection.close()
--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -13,9 +13,16 @@
 
 from wisteria_core import ResultCode
 
-from .const import MAX_HEADER_BYTES, MAX_PIPELINED_REQUESTS, MAX_REQUEST_BODY_BYTES
+from .const import (
+    DEFAULT_IDLE_CALLER_MS,
+    DEFAULT_REQUEST_ARRIVAL_MS,
+    MAX_HEADER_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    MAX_REQUEST_BODY_BYTES,
+)
 
 _LOGGER = logging.getLogger(__name__)
+_MS_PER_S = 1_000
 _CHUNKED_END = b"0\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -134,10 +141,42 @@
 RequestHandler = Callable[[HttpRequest], None]
 
 
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send on a connection, and how long it may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+        Longest head and body of a request.
+    arrival_ms : int
+        Longest time from the first byte of a request to its last.
+    idle_ms : int
+        Time after which a connection without a request is closed.
+    """
+
+    header_bytes: int = MAX_HEADER_BYTES
+    body_bytes: int = MAX_REQUEST_BODY_BYTES
+    arrival_ms: int = DEFAULT_REQUEST_ARRIVAL_MS
+    idle_ms: int = DEFAULT_IDLE_CALLER_MS
+
+
+DEFAULT_LIMITS = CallerLimits()
+
+
 class HttpServerConnection(asyncio.Protocol):
     """One caller's connection; requests are answered in the order of their arrival."""
 
-    def __init__(self, handler: RequestHandler, connections: set["HttpServerConnection"]) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        connections: set["HttpServerConnection"],
+        read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+    ) -> None:
+        self._read_limits = read_limits
+        self._limits = read_limits()
+        self._expires_at: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._handler = handler
         self._connections = connections
         self._transport: asyncio.Transport | None = None
@@ -155,11 +194,14 @@
         # uvloop's TLS transport is no subclass of asyncio.Transport
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        self._expire_after(self._limits.idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being served."""
         self._connections.discard(self)
         self._waiting.clear()
+        if self._timer is not None:
+            self._timer.cancel()
         if self._current is not None:
             self._current.cancel()
         self.resume_writing()
@@ -194,6 +236,8 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset()
+        self._limits = self._read_limits()
+        self._expire_after(self._limits.arrival_ms)
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the target."""
@@ -216,13 +260,14 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         self._body += data
-        if len(self._body) > MAX_REQUEST_BODY_BYTES:
+        if len(self._body) > self._limits.body_bytes:
             self._fault = ResultCode.BODY_TOO_LARGE
             raise ValueError("body too large")
 
     def on_message_complete(self) -> None:
         """Hand the request over, or keep it until the one before it is answered."""
         request = self._make_request(ResultCode.OK)
+        self._expires_at = None
         if self._current is not None:
             self._waiting.append(request)
             return
@@ -248,7 +293,9 @@
             return
         if self._waiting:
             self._serve(self._waiting.popleft())
-        elif self._transport is not None and not self._transport.is_closing():
+            return
+        self._expire_after(self._limits.idle_ms)
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
     def close(self) -> None:
@@ -272,6 +319,23 @@
 
     # own
 
+    def _expire_after(self, limit_ms: int) -> None:
+        """Close the connection unless something arrives within `limit_ms`."""
+        loop = asyncio.get_running_loop()
+        self._expires_at = loop.time() + limit_ms / _MS_PER_S
+        if self._timer is None:
+            self._timer = loop.call_at(self._expires_at, self._check_expiry)
+
+    def _check_expiry(self) -> None:
+        self._timer = None
+        if self._expires_at is None or self._closing:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._expires_at:
+            self._timer = loop.call_at(self._expires_at, self._check_expiry)
+        elif self._current is None:
+            self.close()
+
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
@@ -282,7 +346,7 @@
 
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
-        if self._header_bytes > MAX_HEADER_BYTES:
+        if self._header_bytes > self._limits.header_bytes:
             self._fault = ResultCode.HEADER_TOO_LARGE
             raise ValueError("headers too large")
 
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -22,6 +22,7 @@
 )
 from .const import PROTOCOL_VERSION, WINDOW_BYTES
 from .frames import FrameReader, encode_frame
+from .liveness import bound_silence
 from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
 from .tls import read_peer_names
 
@@ -172,6 +173,7 @@
         """Send the hello as soon as the transport is up."""
         # uvloop's TLS transport is no subclass of asyncio.Transport
         self._transport = cast(asyncio.Transport, transport)
+        bound_silence(self._transport)
         self.send_frame(FrameKind.HELLO, 0, encode_hello(self._hello))
 
     def data_received(self, data: bytes) -> None:
@@ -290,6 +292,9 @@
         if self._expected is not None and hello.vm_id != self._expected:
             return False
         assert self._transport is not None
+        if self._transport.get_extra_info("sslcontext") is None:
+            address = self._transport.get_extra_info("peername")
+            return address is not None and hello.vm_id == address[0]
         certificate = self._transport.get_extra_info("peercert")
         return certificate is not None and hello.vm_id in read_peer_names(certificate)
 
--- a/libs/wire/src/wisteria_wire/models.py
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -81,6 +81,8 @@
     represented : int
         Requests that this one stands for: itself, and those that its entry daemon has shed
         since the last one of the account.
+    instance : str
+        Process of the backend server that must run the call; empty for any.
     """
 
     request_id: str
@@ -106,6 +108,7 @@
     weight: int = 1
     repeatable: bool = False
     represented: int = 1
+    instance: str = ""
 
 
 @attrs.frozen
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -45,8 +45,9 @@
         Receives what arrives on any link.
     vm_id, incarnation
         What this daemon says of itself.
-    material : PeerMaterial
-        Files of the daemon's own certificate and of the authority.
+    material : PeerMaterial or None
+        Files of the daemon's own certificate and of the authority. Without them links are
+        plain TCP and a peer proves its name by its IP number alone, which must be the name.
     clock : Clock
         Source of milliseconds.
     """
@@ -56,13 +57,16 @@
         owner: LinkOwner,
         vm_id: VmId,
         incarnation: int,
-        material: PeerMaterial,
+        material: PeerMaterial | None,
         clock: Clock,
     ) -> None:
         self._owner = owner
         self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation)
-        self._dial_context: ssl.SSLContext = make_dial_context(material)
-        self._listen_context: ssl.SSLContext = make_listen_context(material)
+        self._dial_context: ssl.SSLContext | None = None
+        self._listen_context: ssl.SSLContext | None = None
+        if material is not None:
+            self._dial_context = make_dial_context(material)
+            self._listen_context = make_listen_context(material)
         self._clock = clock
         self._links: dict[VmId, Link] = {}
         self._dialing: dict[VmId, anyio.Event] = {}
@@ -90,6 +94,10 @@
         link = self._links.get(vm_id)
         return link if link is not None and link.is_open else None
 
+    def list_links(self) -> list[Link]:
+        """Return the open links, one for each peer."""
+        return [link for link in self._links.values() if link.is_open]
+
     def count_bytes(self) -> tuple[int, int]:
         """Return bytes sent and received over the links that are open now."""
         links = {*self._links.values(), *self._accepted}
@@ -150,7 +158,7 @@
                     vm.host,
                     vm.peer_port,
                     ssl=self._dial_context,
-                    server_hostname=vm.host,
+                    server_hostname=vm.host if self._dial_context is not None else None,
                 )
                 await link.opened.wait()
             if not link.is_open:
--- a/libs/wire/src/wisteria_wire/wire.capnp
+++ b/libs/wire/src/wisteria_wire/wire.capnp
@@ -30,6 +30,7 @@
   weight @20 :UInt16;
   repeatable @21 :Bool;
   represented @22 :UInt32 = 1;
+  instance @23 :Text;
 }
 
 struct AnswerHead {
--- a/tests/config/test_changes.py
+++ b/tests/config/test_changes.py
@@ -4,7 +4,15 @@
 import attrs
 
 from wisteria_config import Document, describe_changes
-from wisteria_config.models import Account, KeyRecord, PublicPolicy, Route, Service
+from wisteria_config.models import (
+    Account,
+    KeyRecord,
+    PublicPolicy,
+    RequestLimits,
+    Route,
+    Service,
+    SplitPart,
+)
 from wisteria_core import Priority
 
 from .conftest import plain_document, sha256_of
@@ -52,17 +60,24 @@
         ("keys", KeyRecord("k", "0" * 64, "a")),
         ("services", Service("s")),
         ("routes", Route("r", "s", "GET", "/")),
+        ("limits", RequestLimits()),
     ]
+    singles = ("public", "limits")
     document = Document(1, 1, PublicPolicy(1, 1))
     for section, sample in samples:
         for field in attrs.fields(type(sample)):
-            changed = attrs.evolve(sample, **{field.name: _other(getattr(sample, field.name))})
-            old: dict[str, Any] = {section: sample if section == "public" else (sample,)}
-            new: dict[str, Any] = {section: changed if section == "public" else (changed,)}
+            value = getattr(sample, field.name)
+            other = _OTHERS[field.name] if field.name in _OTHERS else _other(value)
+            changed = attrs.evolve(sample, **{field.name: other})
+            old: dict[str, Any] = {section: sample if section in singles else (sample,)}
+            new: dict[str, Any] = {section: changed if section in singles else (changed,)}
             words = describe_changes(attrs.evolve(document, **old), attrs.evolve(document, **new))
             assert words, f"{section}.{field.name}"
 
 
+_OTHERS: dict[str, object] = {"priority": Priority.URGENT, "split": (SplitPart("s", 1),)}
+
+
 def _other(value: object) -> object:
     match value:
         case Priority():
