Tell a child call's parent by its deadline; bound log volume; tests of the platform path

Cause: where no call token travels, levels of the services below never reach the entry daemons, and child calls ran without their parent's rank. A child call expires with its parent, so the deadline names it; it is used for ranking alone.

--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -87,6 +87,9 @@
         Part of the expected wait that a queued call must still be able to afford.
     max_retry_after_ms : int
         Upper bound of the advice to come back.
+    sheds_children : bool
+        Whether child calls are shed by rank like others. Where only a few kinds of request call
+        a service, the work of their parents is lost with them.
     """
 
     limiter: LimiterConfig = LimiterConfig()
@@ -97,3 +100,4 @@
     newest_first: bool = False
     recheck_wait_factor: float = 0.5
     max_retry_after_ms: int = 10_000
+    sheds_children: bool = True
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -249,7 +249,8 @@
     # queueing
 
     def _enqueue(self, now_ms: int, lane: _Lane, ticket: Ticket) -> Offer:
-        if lane is self._short and not self._level.admits(ticket.rank):
+        is_sheddable = self.config.sheds_children or not ticket.is_child
+        if lane is self._short and is_sheddable and not self._level.admits(ticket.rank):
             return Offer(self._refusal(now_ms, ticket, ResultCode.SHED, "load is being shed"))
         wait_ms = self._wait_ms(now_ms, lane, lane.queue.ahead_of(ticket) + 1)
         if now_ms + wait_ms + self._run_ms(now_ms, ticket) >= ticket.deadline_at_ms:
--- a/libs/admission/src/wisteria_admission/models.py
+++ b/libs/admission/src/wisteria_admission/models.py
@@ -49,6 +49,8 @@
         early since it last sent one, see `ChainLevels.take_represented`.
     key_id : str
         Identifier (never the secret) of the caller's key, for `AdmissionGate.withdraw`.
+    is_child : bool
+        Whether a request that was admitted above makes the call.
     """
 
     call_id: Hashable
@@ -62,6 +64,7 @@
     route: str = ""
     represented: int = 1
     key_id: str = ""
+    is_child: bool = False
 
 
 @attrs.frozen
--- a/libs/config/src/wisteria_config/delta.py
+++ b/libs/config/src/wisteria_config/delta.py
@@ -93,9 +93,7 @@
         after = _by_name(getattr(new, section), name)
         upserts[section] = tuple(part for key, part in after.items() if before.get(key) != part)
         deletions[section] = tuple(sorted(before.keys() - after.keys()))
-    return Delta(
-        new.version, new.public, Upserts(**upserts), Deletions(**deletions), new.limits
-    )
+    return Delta(new.version, new.public, Upserts(**upserts), Deletions(**deletions), new.limits)
 
 
 def join_deltas(first: Delta, second: Delta) -> Delta:
--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -235,7 +235,9 @@
     )
     idle_timeout_ms: int = attrs.field(
         default=const.DEFAULT_IDLE_TIMEOUT_MS,
-        metadata=about("Time after which an idle connection of a caller is closed, ms.", LIMIT_TIME),
+        metadata=about(
+            "Time after which an idle connection of a caller is closed, ms.", LIMIT_TIME
+        ),
     )
 
 
--- a/libs/config/src/wisteria_config/reference.py
+++ b/libs/config/src/wisteria_config/reference.py
@@ -85,7 +85,9 @@
 def _render_allowed(name: str, description: About) -> str:
     if description.constraint is not None:
         return description.constraint.describe()
-    return "an object, see below" if name in ("public", "limits") else "a list of objects, see below"
+    return (
+        "an object, see below" if name in ("public", "limits") else "a list of objects, see below"
+    )
 
 
 def _render_default(field: "attrs.Attribute[Any]") -> str:
--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -6,7 +6,13 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from wisteria_wire import CALLER_BACKLOG, CallerLimits, HttpRequest, HttpServerConnection, make_caller_context
+from wisteria_wire import (
+    CALLER_BACKLOG,
+    CallerLimits,
+    HttpRequest,
+    HttpServerConnection,
+    make_caller_context,
+)
 
 from .entry import EntryPort
 from .settings import TlsSettings
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -11,6 +11,9 @@
 
 TOKEN_BYTES = 16
 MAX_LEVELS = 32
+DEADLINE_TOLERANCE_MS = 4
+"""Gap between the deadlines of a call and its child call: rounding to milliseconds on both sides
+and the way between daemon and backend server."""
 
 
 @attrs.define(eq=False)
@@ -106,6 +109,23 @@
         """Return the running call of `token`; None when it has ended or never was."""
         return self._calls.get(token)
 
+    def find_by_deadline(self, deadline_at_ms: int) -> RunningCall | None:
+        """Return the running call with the deadline nearest to one, None when none is near.
+
+        A child call expires with its parent, so that where no token travels the deadline tells
+        the parent. Two calls may share a deadline: the answer is good for ranking the child
+        call, not for ending it.
+        """
+        nearest = min(
+            self._calls.values(),
+            key=lambda call: abs(call.deadline_at_ms - deadline_at_ms),
+            default=None,
+        )
+        if nearest is None:
+            return None
+        gap_ms = abs(nearest.deadline_at_ms - deadline_at_ms)
+        return nearest if gap_ms <= DEADLINE_TOLERANCE_MS else None
+
     def remove(self, call: RunningCall) -> None:
         """Forget a call that has ended and cancel its child calls."""
         self._calls.pop(call.token, None)
--- a/libs/daemon/src/wisteriaproxy/const.py
+++ b/libs/daemon/src/wisteriaproxy/const.py
@@ -10,6 +10,9 @@
 CONF_LOG = "log"
 CONF_TIMING = "timing"
 
+ATTR_REQUEST_ID = "request_id"
+ATTR_CODE = "code"
+
 LOG_LOGFMT = "logfmt"
 LOG_JSON = "json"
 LOG_FORMATS = (LOG_LOGFMT, LOG_JSON)
--- a/libs/daemon/src/wisteriaproxy/dialect.py
+++ b/libs/daemon/src/wisteriaproxy/dialect.py
@@ -75,9 +75,7 @@
 class BackendDialect(Protocol):
     """Writes requests to the backend server and judges its answers."""
 
-    def make_headers(
-        self, call: RunningCall, authority: str, remaining_ms: int
-    ) -> tuple[str, ...]:
+    def make_headers(self, call: RunningCall, authority: str, remaining_ms: int) -> tuple[str, ...]:
         """Return the headers of the request, names and values in turn."""
 
     def check_answer(self, call: RunningCall, answer: HttpAnswer) -> Refusal | None:
@@ -162,9 +160,7 @@
 class OwnBackendDialect:
     """The daemon's own interface towards backend servers."""
 
-    def make_headers(
-        self, call: RunningCall, authority: str, remaining_ms: int
-    ) -> tuple[str, ...]:
+    def make_headers(self, call: RunningCall, authority: str, remaining_ms: int) -> tuple[str, ...]:
         """Return the call's headers with call token, account, priority, deadline and id."""
         head = call.head
         own = (
--- a/libs/daemon/src/wisteriaproxy/downloads.py
+++ b/libs/daemon/src/wisteriaproxy/downloads.py
@@ -9,9 +9,9 @@
 from wisteria_routing import RetryAllowance
 from wisteria_wire import CallHead, HttpExchange
 
+from .const import ATTR_REQUEST_ID
 from .forward import Forwarded, Forwarder
 from .headers import find_header
-from .logs import ATTR_REQUEST_ID
 from .ranges import Download, begin_download
 
 _LOGGER = logging.getLogger(__name__)
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -15,11 +15,11 @@
 from wisteria_wire import AnswerHead, CallHead, HttpRequest
 
 from .answers import head_to_refusal
+from .const import ATTR_CODE, ATTR_REQUEST_ID
 from .dialect import CallerDialect
 from .downloads import Relay
 from .forward import Forwarded, Forwarder, has_failed
 from .identify import Caller
-from .logs import ATTR_REQUEST_ID
 from .metrics import Metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -63,6 +63,8 @@
     ----------
     service : str
         Service that answers: the route's, or the one drawn from its split.
+    trace : dict
+        What was decided on the way and why, for the log.
     """
 
     request: HttpRequest
@@ -74,6 +76,20 @@
     idempotency_key: str
     document: Document
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    trace: dict[str, object] = attrs.field(factory=dict)
+
+    def describe(self, started_ms: int) -> dict[str, object]:
+        """Return what decided the request's way, for the log."""
+        likely = self.caller.likely_parent
+        found: dict[str, object] = {
+            "service": self.service,
+            "config_version": self.document.version,
+            "time_ms": self.deadline_at_ms - started_ms,
+            **self.trace,
+        }
+        if self.caller.is_internal:
+            found["parent"] = likely.head.request_id if likely is not None else None
+        return found
 
 
 @attrs.define(eq=False)
@@ -91,6 +107,8 @@
     answer_grace_ms : int
         Time beyond the deadline for which the answer of the serving daemon is awaited, which
         knows whether the call ran, in milliseconds.
+    log_level : int
+        Level of the line that tells how each request ended.
     """
 
     dialect: CallerDialect
@@ -104,6 +122,7 @@
     check_ready: Callable[[], Refusal | None]
     is_stopping: bool = False
     answer_grace_ms: int = 0
+    log_level: int = logging.DEBUG
     splitter: TrafficSplitter = attrs.field(factory=TrafficSplitter)
     _open: set[Plan] = attrs.field(factory=set)
 
@@ -197,7 +216,9 @@
         key = self.dialect.read_idempotency_key(request, route)
         if isinstance(key, Refusal):
             return key
-        service = self.splitter.choose(route.id, _list_parts(route)) if route.split else route.service
+        service = (
+            self.splitter.choose(route.id, _list_parts(route)) if route.split else route.service
+        )
         return Plan(request, request_id, route, service, caller, deadline_at_ms, key, document)
 
     def _read_deadline(
@@ -228,7 +249,10 @@
         if plan.caller.is_internal:
             # part of a request that was admitted above
             allowance = RetryAllowance(plan.route.retry_allowance)
-            return await self._run(plan, allowance, rank=0, represented=1)
+            likely = plan.caller.likely_parent
+            if likely is None:
+                return await self._run(plan, allowance, rank=0, represented=1)
+            return await self._run(plan, allowance, likely.head.rank, likely.head.represented)
         now_ms = self.clock.now_ms()
         account = plan.caller.account
         priority = plan.route.priority
@@ -236,9 +260,12 @@
         rank = shed_rank(priority, excess_milli, plan.request_id)
         refusal = self.levels.should_shed(now_ms, rank, plan.route.id, account, priority)
         if refusal is not None:
+            threshold = self.levels.threshold(now_ms, plan.route.id)
+            plan.trace.update(rank=rank, threshold=threshold, reason=refusal.reason)
             return self._answer_refusal(plan.request, plan.request_id, refusal)
         admitted = await self.rates.admit(account)
         if isinstance(admitted, Refusal):
+            plan.trace.update(reason=admitted.reason, retry_after_ms=admitted.retry_after_ms)
             return self._answer_refusal(plan.request, plan.request_id, admitted)
         represented = self.levels.take_represented(
             self.clock.now_ms(), plan.route.id, account, priority
@@ -259,6 +286,14 @@
             forwarded = await self.forwarder.forward(head, plan.deadline_at_ms, allowance)
         else:
             forwarded = await self.once.forward(head, plan.deadline_at_ms, allowance)
+        plan.trace.update(
+            vm=forwarded.vm_id,
+            retries=forwarded.retries,
+            run=forwarded.head.run_state.value,
+            status=forwarded.head.status,
+            reason=forwarded.head.reason,
+            rank=rank,
+        )
         self._learn(plan, forwarded.head)
         if plan.caller.parent is not None and has_failed(forwarded.head):
             plan.caller.parent.child_failed = True
@@ -273,6 +308,7 @@
     def _make_head(self, plan: Plan) -> CallHead:
         request, route, caller = plan.request, plan.route, plan.caller
         parent = caller.parent.head if caller.parent is not None else None
+        likely = caller.likely_parent.head if caller.likely_parent is not None else parent
         return CallHead(
             request_id=parent.request_id if parent else plan.request_id,
             route_id=route.id,
@@ -280,17 +316,17 @@
             method=request.method,
             target=request.target,
             headers=self.dialect.make_request_headers(request, caller),
-            account=caller.account,
+            account=likely.account if likely else caller.account,
             key_id=caller.key_id,
             key_digest=caller.key_digest,
-            priority=parent.priority if parent else route.priority,
+            priority=min(likely.priority, route.priority) if likely else route.priority,
             rank=0,
             remaining_ms=plan.deadline_at_ms - self.clock.now_ms(),
             allowance=0,
             idempotency_key=plan.idempotency_key,
             config_version=plan.document.version,
             body=request.body,
-            hops=parent.hops + 1 if parent else 0,
+            hops=_count_hops(caller),
             long=route.long_download,
             stall_ms=route.stall_ms,
             weight=caller.weight,
@@ -305,8 +341,9 @@
         self.levels.note_answer(
             now_ms, plan.route.id, plan.caller.account, plan.route.priority, head.levels
         )
-        if plan.caller.parent is not None:
-            plan.caller.parent.note_levels(now_ms, head.levels)
+        parent = plan.caller.parent or plan.caller.likely_parent
+        if parent is not None:
+            parent.note_levels(now_ms, head.levels)
 
     # answering
 
@@ -367,15 +404,26 @@
         route = plan.route.id if plan else _NO_ROUTE
         account = plan.caller.account if plan else _NO_ACCOUNT
         self.metrics.count_call(route, account, str(int(code)), duration_ms)
-        if _LOGGER.isEnabledFor(logging.DEBUG):
-            extra = {
-                ATTR_REQUEST_ID: request_id,
-                "route": route,
-                "account": account,
-                "code": int(code),
-                "duration_ms": duration_ms,
-            }
-            _LOGGER.debug("call_ended", extra=extra)
+        if not _LOGGER.isEnabledFor(self.log_level):
+            return
+        extra: dict[str, object] = {
+            ATTR_REQUEST_ID: request_id,
+            "route": route,
+            "account": account,
+            ATTR_CODE: int(code),
+            "duration_ms": duration_ms,
+        }
+        if plan is not None:
+            extra |= plan.describe(started_ms)
+        _LOGGER.log(self.log_level, "call_ended", extra=extra)
+
+
+def _count_hops(caller: Caller) -> int:
+    """Return the calls above one in its chain, as far as they are known."""
+    above = caller.parent or caller.likely_parent
+    if above is not None:
+        return above.head.hops + 1
+    return 1 if caller.is_internal else 0
 
 
 def _list_parts(route: Route) -> tuple[tuple[str, int], ...]:
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -34,6 +34,7 @@
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 LOCAL_WINDOW_BYTES = 262_144
 
+
 class PeerNotes(Protocol):
     """Takes in what calls show of the daemons that they were sent to."""
 
--- a/libs/daemon/src/wisteriaproxy/identify.py
+++ b/libs/daemon/src/wisteriaproxy/identify.py
@@ -39,6 +39,8 @@
         The call that makes this one; None when it comes from outside or can't be told.
     is_internal : bool
         Whether a request that was admitted above makes this call, whichever one it is.
+    likely_parent : RunningCall or None
+        The running call that most likely makes this one; good for ranking alone.
     """
 
     account: str
@@ -47,6 +49,7 @@
     key_digest: str = ""
     parent: RunningCall | None = None
     is_internal: bool = False
+    likely_parent: RunningCall | None = None
 
 
 def identify_caller(
--- a/libs/daemon/src/wisteriaproxy/logs.py
+++ b/libs/daemon/src/wisteriaproxy/logs.py
@@ -10,9 +10,9 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from .const import DOMAIN, LOG_JSON
+from .log_budget import BoundedHandler
 from .settings import LogSettings
 
-ATTR_REQUEST_ID = "request_id"
 REDACTED = "(redacted)"
 
 LIBRARIES = tuple(
@@ -140,24 +140,37 @@
 
 def make_handler(settings: LogSettings, stream: IO[str] | None = None) -> logging.Handler:
     """Return a handler that writes to `stream` (standard error by default)."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+    return _dress_handler(logging.StreamHandler(stream or sys.stderr), settings)
+
+
+def make_bounded_handler(settings: LogSettings, descriptor: int) -> logging.Handler:
+    """Return a handler that writes a bounded volume and never waits for its reader."""
+    return _dress_handler(BoundedHandler(descriptor), settings)
+
+
+def _dress_handler(handler: logging.Handler, settings: LogSettings) -> logging.Handler:
     handler.setFormatter(JsonLineFormatter() if settings.format == LOG_JSON else LogfmtFormatter())
     handler.addFilter(SecretFilter())
     return handler
 
 
 def setup_logs(settings: LogSettings, stream: IO[str] | None = None) -> None:
-    """Send the log lines of every library to one handler, and of others the warnings.
+    """Send the log lines of every library to one stream, and of others the warnings.
 
     A record carries its fields as ``extra``, among them `ATTR_REQUEST_ID` for all that
     belongs to one request::
 
         _LOGGER.info("call_refused", extra={ATTR_REQUEST_ID: request_id, "code": 210})
     """
+    install_handler(settings, make_handler(settings, stream))
+
+
+def install_handler(settings: LogSettings, handler: logging.Handler) -> None:
+    """Send the log lines of every library to a handler, and of others the warnings."""
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
-    root.addHandler(make_handler(settings, stream))
+    root.addHandler(handler)
     root.setLevel(logging.WARNING)
     logging.raiseExceptions = False
     for name in (DOMAIN, *LIBRARIES):
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -60,6 +60,8 @@
 """Part of the grace after which calls in flight are cut, so that the daemon ends by itself."""
 CHOOSER_CONFIG = ChooserConfig(local_load=0.5)
 """The own failure domain goes first up to half load, where no server queues yet."""
+ADMISSION_CONFIG = AdmissionConfig(reserve_share=0.02, sheds_children=False)
+"""A slot or two stay free for urgent calls; calls of admitted work run unless it is hopeless."""
 OVERAGE_PART = 0.5
 """Part of what operators let an account exceed its rate by that is admitted on purpose; the
 rest is left for what daemons admit before they hear of one another."""
@@ -151,13 +153,13 @@
             self.control.send,
         )
         self.control.register(crashes.handle_report, CrashReport, SuspicionCleared)
-        slots = settings.backend.slots
+        slots, registry = settings.backend.slots, CallRegistry()
         self.serving = ServingPort(
             gate=AdmissionGate(
-                slots, settings.vm.service, self.vm_id, AdmissionConfig(), FixedLimiter(slots)
+                slots, settings.vm.service, self.vm_id, ADMISSION_CONFIG, FixedLimiter(slots)
             ),
             backend=self.backend,
-            registry=CallRegistry(),
+            registry=registry,
             clock=clock,
             vm_id=self.vm_id,
             read_document=self._read_document,
@@ -168,7 +170,11 @@
             self.fleet, self, self.links, clock, random, self.vm_id, self._serve_locally
         )
         self.entry = EntryPort(
-            dialect=platform.caller_dialect(settings, lambda: self.serving.in_flight > 0),
+            dialect=platform.caller_dialect(
+                settings,
+                lambda: self.serving.in_flight > 0,
+                lambda left_ms: registry.find_by_deadline(clock.now_ms() + left_ms),
+            ),
             forwarder=forwarder,
             once=forwarder,
             rates=ShareRates(self.shares, clock),
@@ -178,6 +184,7 @@
             read_document=self._read_document,
             check_ready=self._check_ready,
             answer_grace_ms=ANSWER_GRACE_MS,
+            log_level=logging.INFO,
         )
         self.callers = CallerPort(self.entry, self.tasks, None, self._read_limits)
 
@@ -297,9 +304,7 @@
             return
         published = self._source.decode_document(found.content)
         if published is None:
-            _LOGGER.warning(
-                "document_unreadable", extra={"peer": sender, "version": found.version}
-            )
+            _LOGGER.warning("document_unreadable", extra={"peer": sender, "version": found.version})
             return
         self.put_document(published, sender)
 
@@ -364,8 +369,10 @@
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
         await self.callers.async_unload()
         with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_PART):
-            while self._count_in_flight() > 0:
+            is_busy = True
+            while is_busy:
                 await anyio.sleep(_STOP_POLL_S)
+                is_busy = self._count_in_flight() > 0
         cut = self._count_in_flight()
         if cut:
             _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -9,6 +9,7 @@
 from wisteria_core import Clock, VmList
 from wisteria_limits import AccountRate
 
+from ..calls import RunningCall
 from ..dialect import BackendDialect, CallerDialect
 from ..metrics import Metrics
 from .settings import MeshSettings
@@ -49,6 +50,10 @@
         """Return the configuration in `content`, None when it can't be read."""
 
 
+IsBusy = Callable[[], bool]
+FindParent = Callable[[int], RunningCall | None]
+
+
 @attrs.frozen(eq=False)
 class Platform:
     """What differs from one platform to another.
@@ -57,12 +62,13 @@
     ----------
     make_source : callable
         Returns the source for the settings.
-    caller_dialect : CallerDialect
-        How requests of callers are read and answered.
-    backend_dialect : BackendDialect
-        How the backend server is called.
+    caller_dialect : callable
+        Returns how requests of callers are read and answered, given whether the backend server
+        runs anything and the running call that ends in so many milliseconds.
+    backend_dialect : callable
+        Returns how the backend server is called.
     """
 
     make_source: Callable[[MeshSettings, Clock, Metrics], Source]
-    caller_dialect: Callable[[MeshSettings, Callable[[], bool]], CallerDialect]
+    caller_dialect: Callable[[MeshSettings, IsBusy, FindParent], CallerDialect]
     backend_dialect: Callable[[MeshSettings], BackendDialect]
--- a/libs/daemon/src/wisteriaproxy/once.py
+++ b/libs/daemon/src/wisteriaproxy/once.py
@@ -26,8 +26,8 @@
 from wisteria_wire.codec import decode_answer, encode_answer
 
 from .answers import refusal_to_head
+from .const import ATTR_REQUEST_ID
 from .forward import Forwarded, Forwarder
-from .logs import ATTR_REQUEST_ID
 from .responders import Responder
 from .serving import ServingPort
 from .slots import SlotTable, ledger_slot
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -24,8 +24,8 @@
 from .answers import refusal_to_head
 from .backend import BackendServer
 from .calls import CallRegistry, RunningCall
+from .const import ATTR_CODE, ATTR_REQUEST_ID
 from .crashes import CrashWatch
-from .logs import ATTR_REQUEST_ID
 from .metrics import BACKEND_CALLS, Counts
 from .responders import Responder
 
@@ -167,6 +167,7 @@
             # a key may have been withdrawn while the call was queued
             refusal = self._check_key(served.head) or self.crashes.start(call_id, served.head)
         if refusal is not None:
+            self._log_refusal(served.head, refusal)
             served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, None))
             return
         call = self.registry.add(served.head, served.deadline_at_ms)
@@ -177,6 +178,17 @@
             self.registry.remove(call)
             self.crashes.finish(call_id, served.outcome is Outcome.SUCCESS)
 
+    def _log_refusal(self, head: CallHead, refusal: Refusal) -> None:
+        extra = {
+            ATTR_REQUEST_ID: head.request_id,
+            ATTR_CODE: int(refusal.code),
+            "reason": refusal.reason,
+            "rank": head.rank,
+            "time_ms": head.remaining_ms,
+            **self.gate.describe(),
+        }
+        _LOGGER.info("call_refused", extra=extra)
+
     def check(self, head: CallHead) -> Refusal | None:
         """Return why a call may not be served at this moment, or None."""
         if self.is_leaving:
@@ -214,6 +226,7 @@
             route=head.route_id,
             represented=head.represented,
             key_id=head.key_id,
+            is_child=head.hops > 0,
         )
         offer = self.gate.offer(self.clock.now_ms(), ticket)
         self._apply(offer.evicted)
--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -37,7 +37,6 @@
     setting,
 )
 
-
 S = TypeVar("S")
 
 
--- a/libs/limits/src/wisteria_limits/__init__.py
+++ b/libs/limits/src/wisteria_limits/__init__.py
@@ -27,8 +27,8 @@
 __all__ = [
     "SLICES_PER_DOMAIN",
     "AccountBudget",
-    "AccountUse",
     "AccountRate",
+    "AccountUse",
     "Admitted",
     "BorrowItem",
     "BorrowReply",
--- a/libs/limits/src/wisteria_limits/shares.py
+++ b/libs/limits/src/wisteria_limits/shares.py
@@ -144,6 +144,7 @@
             if account is None:
                 # a daemon that has just started does not know what was admitted before
                 account = _Account(rate, now_ms, 1.0 / self._daemons)
+                account.own_level = self._own_room(account)
             self._refill(now_ms, account)
             account.rate = rate
             account.fleet_level = min(account.fleet_level, self._burst(account))
--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -26,7 +26,7 @@
 DEFAULT_WRITE_HIGH_WATER_BYTES = 262_144
 
 UNACKNOWLEDGED_LIMIT_MS = 3_000
-"""Longest time for which sent bytes stay unacknowledged: several retransmissions over a lossy link."""
+"""Longest time for which sent bytes stay unacknowledged: a few retransmissions on a lossy link."""
 
 KEEP_ALIVE_PROBE_S = 1
 """Time between probes of an idle connection, the shortest that TCP offers."""
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -62,6 +62,8 @@
     ) -> None:
         self._owner = owner
         self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation)
+        # without certificates the address that a link comes from is the proof of the name
+        self._local_addr = (str(vm_id), 0) if material is None else None
         self._dial_context: ssl.SSLContext | None = None
         self._listen_context: ssl.SSLContext | None = None
         if material is not None:
@@ -158,6 +160,7 @@
                     vm.host,
                     vm.peer_port,
                     ssl=self._dial_context,
+                    local_addr=self._local_addr,
                     server_hostname=vm.host if self._dial_context is not None else None,
                 )
                 await link.opened.wait()
--- a/tests/limits/shares_fleet.py
+++ b/tests/limits/shares_fleet.py
@@ -106,6 +106,4 @@
     def _deliver(self) -> None:
         while self._flying and self._flying[0][0] <= self.now_ms:
             _, sender, receiver, incarnation, report = self._flying.popleft()
-            self._daemons[receiver].note_report(
-                self.now_ms, VmId(str(sender)), incarnation, report
-            )
+            self._daemons[receiver].note_report(self.now_ms, VmId(str(sender)), incarnation, report)
--- /dev/null
+++ b/tests/platform/support.py
@@ -0,0 +1,481 @@
+"""Small stand-ins of the platform's store and of a backend server, and daemons between them."""
+
+import asyncio
+import base64
+import json
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import attrs
+import httptools
+from anyio.abc import TaskGroup
+
+from wisteria_core import Clock
+from wisteriaproxy.mesh.app import MeshDaemon
+from wisteriaproxy.mesh.settings import MeshSettings
+from wisteriaproxy.settings import SettingsErrors, parse_settings_of
+from wrdsc.main import PLATFORM
+
+HISTORY = 1_000
+CALLERS, PEERS, READY, OPERATORS, APP, STORE = 8001, 8002, 8003, 8004, 8005, 8006
+FIRST_SUBNET = 20
+WAIT_S = 10.0
+KEY = "k" * 20
+HOST = "yields.example"
+
+
+@attrs.define
+class Request:
+    """A request as a stand-in has read it; header names are in lower case."""
+
+    method: str = ""
+    target: str = ""
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+
+
+@attrs.define
+class Reply:
+    """What a stand-in answers.
+
+    Parameters
+    ----------
+    raw : bytes or None
+        Bytes to send as they are in place of a proper answer.
+    closes : bool
+        Whether the connection is closed afterwards.
+    resets : bool
+        Whether it is reset instead.
+    """
+
+    status: int = 200
+    headers: dict[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+    raw: bytes | None = None
+    closes: bool = False
+    resets: bool = False
+
+    def encode(self) -> bytes:
+        if self.raw is not None:
+            return self.raw
+        lines = [f"HTTP/1.1 {self.status} x", f"content-length: {len(self.body)}"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        return "\r\n".join([*lines, "", ""]).encode() + self.body
+
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+class _Connection(asyncio.Protocol):
+    """One connection to a stand-in; requests are served one after the other."""
+
+    def __init__(self, server: "HttpStandin") -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._request = Request()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport: Any = transport
+        self._server.connections.add(transport)
+        self._server.accepted += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self._transport)
+        for task in self._tasks:
+            task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._request = Request()
+
+    def on_url(self, url: bytes) -> None:
+        self._request.target += url.decode()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._request.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, data: bytes) -> None:
+        self._request.body += data
+
+    def on_message_complete(self) -> None:
+        self._request.method = self._parser.get_method().decode()
+        task = asyncio.get_running_loop().create_task(self._answer(self._request))
+        self._tasks.add(task)
+
+    async def _answer(self, request: Request) -> None:
+        try:
+            reply = await self._server.handle(request)
+        except asyncio.CancelledError:
+            self._server.cancelled += 1
+            raise
+        if reply.resets:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self._transport.abort()
+            return
+        self._transport.write(reply.encode())
+        if reply.closes:
+            self._transport.close()
+
+
+class HttpStandin:
+    """An HTTP server whose answers a handler makes."""
+
+    def __init__(self, host: str, port: int, handle: Handler) -> None:
+        self.host, self.port, self.handle = host, port, handle
+        self.connections: set[Any] = set()
+        self.accepted = 0
+        self.cancelled = 0
+        self._server: asyncio.Server | None = None
+
+    async def async_setup(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), self.host, self.port)
+
+    async def async_unload(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for transport in list(self.connections):
+            transport.abort()
+
+
+class Store:
+    """The platform's store: items, changes, watches, and some of its troubles.
+
+    Parameters
+    ----------
+    trouble : callable or None
+        Returns a reply in place of the store's own, or None.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.http = HttpStandin(host, STORE, self._handle)
+        self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.revision = 1
+        self.oldest = 0
+        self.page = 3
+        self.calls: list[str] = []
+        self.trouble: Callable[[Request], Reply | None] | None = None
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created_rev": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def forget_history(self) -> None:
+        """Have every watch from before this moment answered with 410."""
+        self.oldest = self.revision + 1
+        self.revision += 1
+        self.events.clear()
+        self._wake()
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(self, request: Request) -> Reply:
+        path, _, text = request.target.partition("?")
+        query = dict(part.split("=", 1) for part in text.split("&"))
+        self.calls.append(path)
+        reply = self.trouble(request) if self.trouble is not None else None
+        if reply is not None:
+            return reply
+        prefix = query.get("prefix", "").replace("%2F", "/")
+        match path:
+            case "/kv-key":
+                item = self.items.get(query["key"].replace("%2F", "/"))
+                if item is None:
+                    return _reply({"as_of": self.revision}, 404)
+                return _reply({**item, "as_of": self.revision})
+            case "/kv-range":
+                after = query.get("after", "").replace("%2F", "/")
+                keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+                found = [self.items[key] for key in keys[: self.page]]
+                more = len(keys) > self.page
+                return _reply({"items": found, "more_pages": more, "as_of": self.revision})
+            case _:
+                return await self._watch(prefix, int(query["after"]), int(query["wait_ms"]))
+
+    async def _watch(self, prefix: str, after: int, wait_ms: int) -> Reply:
+        with anyio.move_on_after(wait_ms / 1_000):
+            while True:
+                if after < self.oldest:
+                    return Reply(410)
+                found = [
+                    event
+                    for event in self.events
+                    if event["key"].startswith(prefix) and event["revision"] > after
+                ]
+                if found:
+                    return _reply({"events": found, "as_of": self.revision})
+                await self._changed.wait()
+        return _reply({"events": [], "as_of": self.revision})
+
+
+def _reply(body: dict[str, Any], status: int = 200) -> Reply:
+    return Reply(status, {"content-type": "application/json"}, json.dumps(body).encode())
+
+
+class Upstream:
+    """A backend server in the platform's dialect.
+
+    Parameters
+    ----------
+    answer : callable or None
+        Returns a reply in place of a signed success, or None.
+    """
+
+    def __init__(self, host: str, instance: str) -> None:
+        self.instance = instance
+        self.http = HttpStandin(host, APP, self._handle)
+        self.ran: list[Request] = []
+        self.answer: Callable[[Request], Awaitable[Reply | None]] | None = None
+
+    def sign(self, request: Request, status: int = 200, body: bytes = b"yield") -> Reply:
+        headers = {
+            "Wisteriaproxy-Attempt-Id": request.headers["wisteriaproxy-attempt-id"],
+            "Wisteriaproxy-Response-Signature": "s.1",
+            "Wisteriaproxy-Server-Load": "1,0,8",
+        }
+        return Reply(status, headers, body)
+
+    async def _handle(self, request: Request) -> Reply:
+        expected = request.headers.get("wisteriaproxy-target-instance")
+        if expected not in (None, self.instance):
+            return Reply(421, {"Wisteriaproxy-Instance-Id": self.instance})
+        reply = await self.answer(request) if self.answer is not None else None
+        if reply is None or "Wisteriaproxy-Not-Executed" not in reply.headers:
+            self.ran.append(request)
+        return reply if reply is not None else self.sign(request)
+
+
+def make_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    config: dict[str, Any] = {
+        "config_version": f"{version:08x}",
+        "routes": [
+            make_route("yields", "/yields/", "idempotent"),
+            make_route("orders", "/orders/", "non_idempotent"),
+            {**make_route("parts", "/parts/", "idempotent"), "public": True},
+        ],
+        "services": [
+            {"name": "yield", "health_path": "/healthz", "max_connections": 40, "protocol": "h1"}
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "tenants": [
+            {"name": "co-op", "api_keys": [KEY], "priority": 1, "rate_per_s": 500, "burst": 500}
+        ],
+    }
+    return {**config, **changes}
+
+
+def make_route(name: str, prefix: str, kind: str) -> dict[str, Any]:
+    """Return a route of the service."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_s": 0.6,
+        "target_latency_s": 0.3,
+        "priority": 1,
+        "service": "yield",
+        "max_attempts": 2,
+        "public": False,
+    }
+
+
+@attrs.define(eq=False)
+class Node:
+    """One VM: its daemon and its backend server."""
+
+    host: str
+    upstream: Upstream
+    daemon: MeshDaemon
+    scope: anyio.CancelScope
+
+
+@attrs.define(eq=False)
+class Mesh:
+    """A store and some VMs, each at a loopback address of its own."""
+
+    subnet: int = 0
+    nodes: list[Node] = attrs.field(factory=list)
+    store: Store = attrs.field(init=False)
+    _tasks: TaskGroup = attrs.field(init=False)
+    _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
+
+    async def async_setup(self) -> None:
+        """Start the store at the first subnet whose port is free."""
+        for subnet in range(FIRST_SUBNET, 250):
+            self.subnet = subnet
+            self.store = Store(self._host(1))
+            try:
+                await self.store.http.async_setup()
+                break
+            except OSError:
+                continue
+        self._tasks = anyio.create_task_group()
+        await self._tasks.__aenter__()
+
+    async def async_unload(self) -> None:
+        """Stop everything."""
+        self._tasks.cancel_scope.cancel()
+        await self._tasks.__aexit__(None, None, None)
+        for node in self.nodes:
+            await node.upstream.http.async_unload()
+            await node.daemon.callers.async_unload()
+            await node.daemon.links.async_unload()
+            await node.daemon.ready_port.async_unload()
+            await node.daemon.operator_port.async_unload()
+        await self.store.http.async_unload()
+        self._folder.cleanup()
+
+    def publish(self, config: dict[str, Any]) -> None:
+        """Have the operator write a configuration."""
+        self.store.put("op/config", json.dumps(config).encode())
+
+    def register(self, node: Node, **changes: Any) -> None:
+        """Have a backend server write its entry."""
+        entry = {
+            "service": "yield",
+            "address": f"{node.host}:{APP}",
+            "zone": "north",
+            "config_version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_s": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+        self.store.put(f"servers/{node.upstream.instance}", json.dumps(entry | changes).encode())
+
+    async def add_node(self, registers: bool = True) -> Node:
+        """Start a VM and wait until its daemon listens."""
+        host = self._host(10 + len(self.nodes))
+        upstream = Upstream(host, f"i-{len(self.nodes)}")
+        await upstream.http.async_setup()
+        settings = self._make_settings(host)
+        scope = anyio.CancelScope()
+        daemon = MeshDaemon(settings, Path(self._folder.name), PLATFORM, Clock(), self._tasks)
+        node = Node(host, upstream, daemon, scope)
+        self.nodes.append(node)
+        self._tasks.start_soon(self._run, node)
+        if registers:
+            self.register(node)
+        return node
+
+    async def add_ready(self, count: int) -> list[Node]:
+        """Start VMs and wait until each knows the configuration and all VMs."""
+        nodes = [await self.add_node() for _ in range(count)]
+        for node in nodes:
+            await wait_until(lambda node=node: self._knows_all(node))
+        return nodes
+
+    async def call(
+        self, node: Node, path: str, method: str = "GET", timeout_ms: int = 2_000, **headers: str
+    ) -> Reply:
+        """Send a request of a client on a VM and return its answer."""
+        sent = {
+            "host": HOST,
+            "wisteriaproxy-attempt-id": f"a{id(headers):x}",
+            "wisteriaproxy-timeout-ms": str(timeout_ms),
+            "authorization": f"Bearer {KEY}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        lines = [f"{method} {path} HTTP/1.1", "connection: close"]
+        lines += [f"{name}: {value}" for name, value in sent.items() if value]
+        reader, writer = await asyncio.open_connection(node.host, CALLERS)
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        with anyio.fail_after(WAIT_S):
+            data = await reader.read()
+        writer.close()
+        return read_reply(data)
+
+    def _knows_all(self, node: Node) -> bool:
+        known = node.daemon.vm_list
+        return node.daemon.is_ready() and known is not None and len(known) >= len(self.nodes)
+
+    async def _run(self, node: Node) -> None:
+        await node.daemon.run()
+
+    def _host(self, last: int) -> str:
+        return f"127.77.{self.subnet}.{last}"
+
+    def _make_settings(self, host: str) -> MeshSettings:
+        text = f"""
+[vm]
+id = "{host}"
+service = "yield"
+failure_domain = "north"
+[listen]
+callers = "{host}:{CALLERS}"
+peers = "{host}:{PEERS}"
+ready = "{host}:{READY}"
+operators = "{host}:{OPERATORS}"
+[backend]
+address = "{host}:{APP}"
+[store]
+address = "{self._host(1)}:{STORE}"
+[bounds]
+grace_s = 2
+[timing]
+read_timeout_ms = 300
+backoff_first_ms = 20
+backoff_max_ms = 50
+"""
+        settings = parse_settings_of(MeshSettings, text, Path())
+        assert not isinstance(settings, SettingsErrors), str(settings)
+        return settings
+
+
+def read_reply(data: bytes) -> Reply:
+    """Return the answer in the bytes of a connection; status 0 when there is none."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    if not head:
+        return Reply(0)
+    first, *lines = head.decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    reply = Reply(int(first.split(" ")[1]), headers, body)
+    length = headers.get("content-length")
+    reply.closes = length is not None and len(body) < int(length)
+    return reply
+
+
+async def wait_until(holds: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    with anyio.fail_after(WAIT_S):
+        while not holds():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,161 @@
+"""The store as source: pages, watches, and what goes wrong with them."""
+
+import json
+
+import anyio
+import pytest
+
+from .support import KEY, Mesh, Reply, make_config, wait_until
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_versions_only_rise_and_keys_are_withdrawn(mesh: Mesh) -> None:
+    mesh.publish(make_config(version=5))
+    (node,) = await mesh.add_ready(1)
+    daemon = node.daemon
+    mesh.publish(make_config(version=9, tenants=[{"name": "co-op", "api_keys": ["n" * 20]}]))
+    await wait_until(
+        lambda: daemon.published is not None and daemon.published.document.version == 9
+    )
+    assert (await mesh.call(node, "/yields/1")).status == 401
+    mesh.publish(make_config(version=7))
+    mesh.publish(make_config(version=10))
+    await wait_until(
+        lambda: daemon.published is not None and daemon.published.document.version == 10
+    )
+    assert (await mesh.call(node, "/yields/1")).status == 200
+
+
+async def test_all_pages_of_the_servers_are_read(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    nodes = await mesh.add_ready(1)
+    for number in range(8):
+        entry = json.dumps(
+            {
+                "service": "yield",
+                "address": f"127.77.200.{number + 1}:1",
+                "zone": "south",
+                "slots": 3,
+                "state": "ready",
+                "born": 1,
+            }
+        )
+        mesh.store.put(f"servers/x-{number}", entry.encode())
+    mesh.store.forget_history()
+    await wait_until(lambda: len(nodes[0].daemon.vm_list or ()) == 9)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"{}",
+        b'{"service": "yield", "address": 7, "zone": "n", "slots": 1, "state": "ready"}',
+        b'{"service": "yield", "address": "127.0.0.9:1", "zone": "n", "slots": 1, "state": "odd"}',
+        b'{"service": "yield", "address": "127.0.0.9:1", "zone": "n", "slots": "1",'
+        b' "state": "ready"}',
+    ],
+)
+async def test_a_foreign_entry_names_no_server_and_the_others_hold(
+    mesh: Mesh, content: bytes
+) -> None:
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    mesh.store.put("servers/odd", content)
+    mesh.publish(make_config(version=2))
+    mesh.store.put("servers/odd2", content)
+    daemon = node.daemon
+    await wait_until(
+        lambda: daemon.published is not None and daemon.published.document.version == 2
+    )
+    assert (await mesh.call(node, "/yields/1")).status == 200
+    assert len(daemon.vm_list or ()) == 1
+
+
+async def test_a_daemon_that_the_store_turns_away_learns_from_its_peers(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    nodes = await mesh.add_ready(2)
+    mesh.store.trouble = lambda request: Reply(503)
+    first, second = (node.daemon for node in nodes)
+    published = first._source.decode_document(json.dumps(make_config(version=4)).encode())
+    assert published is not None
+    first.put_document(published, "store")
+    await wait_until(
+        lambda: second.published is not None and second.published.document.version == 4
+    )
+
+
+async def test_the_store_is_read_again_after_failures(mesh: Mesh) -> None:
+    replies = iter([Reply(429), Reply(503), Reply(resets=True), Reply(raw=b"?", closes=True)])
+    mesh.store.trouble = lambda request: next(replies, None)
+    mesh.publish(make_config())
+    await mesh.add_ready(1)
+
+
+async def test_a_silent_store_is_given_up(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    quiet = iter([Reply(raw=b""), Reply(raw=b"")])
+    mesh.store.trouble = lambda request: next(quiet, None)
+    mesh.store.forget_history()
+    mesh.publish(make_config(version=3))
+    daemon = node.daemon
+    await wait_until(
+        lambda: daemon.published is not None and daemon.published.document.version == 3
+    )
+
+
+async def test_a_leaving_server_gets_nothing(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    nodes = await mesh.add_ready(2)
+    mesh.register(nodes[1], state="draining")
+    vms = nodes[0].daemon
+    await wait_until(lambda: any(vm.state.value == "leaving" for vm in vms.vm_list or ()))
+    for _ in range(10):
+        assert (await mesh.call(nodes[0], "/yields/1")).status == 200
+    assert nodes[1].upstream.ran == []
+
+
+async def test_a_reused_address_runs_nothing_of_the_former_service(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    nodes = await mesh.add_ready(2)
+    nodes[1].upstream.instance = "i-new"
+    for _ in range(10):
+        assert (await mesh.call(nodes[0], "/yields/1")).status == 200
+    assert nodes[1].upstream.ran == []
+
+
+async def test_a_stopping_daemon_is_not_ready_and_finishes_its_calls(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    nodes = await mesh.add_ready(2)
+    began = anyio.Event()
+
+    async def answer(_request: object) -> Reply | None:
+        began.set()
+        await anyio.sleep(0.2)
+        return None
+
+    for node in nodes:
+        node.upstream.answer = answer
+    found: list[int] = []
+
+    async def call() -> None:
+        found.append((await mesh.call(nodes[0], "/yields/1")).status)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        await began.wait()
+        nodes[0].daemon.start_drain()
+        assert not nodes[0].daemon.is_ready()
+    assert found == [200]
+    await wait_until(lambda: nodes[1].daemon.board.is_leaving(nodes[0].daemon.vm_id))
+
+
+def test_a_key_is_kept_as_its_digest_alone() -> None:
+    from wrdsc.decode import decode_document
+
+    published = decode_document(json.dumps(make_config()).encode(), 0.1, ["north"])
+    assert published is not None
+    assert KEY not in repr(published.document)
