See a reset behind the bytes of an answer without length

Ruled out: the order of callbacks in uvloop, wrong framing towards the client. Test: fails before, in tests/wire.

--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -20,7 +20,7 @@
     MAX_HEADER_BYTES,
     WINDOW_BYTES,
 )
-from .liveness import bound_silence
+from .liveness import bound_silence, has_pending_error
 
 _MS_PER_S = 1_000
 _INFORMATIONAL = 200
@@ -127,7 +127,8 @@
 
     def eof_received(self) -> bool:
         """Note that the backend server closed the connection in an orderly way."""
-        self._was_closed_by_peer = True
+        assert self._transport is not None
+        self._was_closed_by_peer = not has_pending_error(self._transport)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -1,12 +1,16 @@
 """The client towards the backend server: reuse, cut answers, cancellation."""
 
 import asyncio
+import errno
+import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 
 from wisteria_core import Clock, Refusal, ResultCode, RunState
 from wisteria_wire import HttpCall, HttpClientPool, collect_body, encode_request
+from wisteria_wire.http_client import HttpClientConnection
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -136,3 +140,53 @@
         server.close()
 
     run_loop(body)
+
+
+class _Socket:
+    """A socket that tells of a reset only when it is asked for its pending error."""
+
+    family = 0
+
+    def __init__(self, error: int) -> None:
+        self.error = error
+
+    def getsockopt(self, level: int, option: int) -> int:
+        assert (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR)
+        return self.error
+
+
+class _Transport(asyncio.Transport):
+    """A transport over such a socket."""
+
+    def __init__(self, error: int) -> None:
+        super().__init__({"socket": _Socket(error)})
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send nothing."""
+
+    def is_closing(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        """Stay as it is."""
+
+
+@pytest.mark.parametrize(("error", "is_whole"), [(0, True), (errno.ECONNRESET, False)])
+def test_an_unframed_answer_that_was_reset_behind_its_bytes_is_not_whole(
+    run_loop: RunLoop, error: int, is_whole: bool
+) -> None:
+    async def body() -> None:
+        pool = HttpClientPool("127.0.0.1", 1, 1, Clock(), allows_unframed=True)
+        connection = HttpClientConnection(pool)
+        connection.connection_made(_Transport(error))
+        asyncio.get_running_loop().call_soon(
+            connection.data_received, b"HTTP/1.1 200 OK\r\n\r\nshort"
+        )
+        answer = await connection.send(REQUEST)
+        assert not isinstance(answer, Refusal)
+        connection.eof_received()
+        connection.connection_lost(None)
+        found = await collect_body(answer.body, 1_000)
+        assert isinstance(found, bytes) == is_whole
+
+    run_loop(body)
