--- a/libs/daemon/src/wisteriaproxy/log_budget.py
+++ b/libs/daemon/src/wisteriaproxy/log_budget.py
@@ -43,7 +43,7 @@
     per_s: float = LINES_PER_S
     burst: float = BURST_LINES
     dropped: Counter[str] = attrs.field(factory=Counter)
-    _level: float = BURST_LINES
+    _level: float = attrs.field(default=BURST_LINES, alias="level")
     _refilled_s: float = 0.0
 
     def take(self, now_s: float, value: str) -> bool:
--- a/libs/daemon/src/wisteriaproxy/settings_reference.py
+++ b/libs/daemon/src/wisteriaproxy/settings_reference.py
@@ -6,10 +6,11 @@
 
 import attrs
 
+from .mesh.settings import MeshSettings
 from .settings import Settings
 from .settings_rules import META_DOC, META_RULE
 
-_HEAD = """# Settings of the daemon
+_OWN_HEAD = """# Settings of the daemon
 
 `wisteriaproxy --settings FILE` reads one TOML file at start; `--check` reads it and exits. With an
 error it prints one line for each, `key: problem; allowed: ...`, and exits with status 2. Unknown
@@ -17,9 +18,29 @@
 """
 
 
+_MESH_HEAD = """# Settings of the daemon in a mesh
+
+Where a platform's store names the VMs and publishes the configuration, the daemon reads this TOML
+file. It looks at the file again on SIGHUP and when it has changed; the level of the log changes at
+once, other keys with a restart, which a log line says. This page is made by
+`python -m wisteriaproxy.settings_reference`.
+"""
+OWN_PAGE = "SETTINGS.md"
+MESH_PAGE = "MESH-SETTINGS.md"
+
+
 def render_reference() -> str:
-    """Return the settings reference as Markdown."""
-    return "\n".join([_HEAD, *(_render_section(section) for section in attrs.fields(Settings))])
+    """Return the reference of the daemon's own settings as Markdown."""
+    return _render(_OWN_HEAD, Settings)
+
+
+def render_mesh_reference() -> str:
+    """Return the reference of the settings in a mesh as Markdown."""
+    return _render(_MESH_HEAD, MeshSettings)
+
+
+def _render(head: str, kind: Any) -> str:
+    return "\n".join([head, *(_render_section(section) for section in attrs.fields(kind))])
 
 
 def _render_section(section: "attrs.Attribute[Any]") -> str:
@@ -42,11 +63,10 @@
 
 
 def main() -> None:
-    """Write the reference to the file named on the command line, or to standard output."""
-    if len(sys.argv) > 1:
-        Path(sys.argv[1]).write_text(render_reference(), encoding="utf-8")
-    else:
-        sys.stdout.write(render_reference())
+    """Write the references into the folder named on the command line."""
+    folder = Path(sys.argv[1])
+    (folder / OWN_PAGE).write_text(render_reference(), encoding="utf-8")
+    (folder / MESH_PAGE).write_text(render_mesh_reference(), encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/tests/config/test_paths.py
+++ b/tests/config/test_paths.py
@@ -40,3 +40,13 @@
     index = RouteIndex.build(("GET", pattern, pattern) for pattern in PATTERNS)
     assert index.find("GET", path) == pattern
     assert index.find("POST", path) is None
+
+
+def test_a_pattern_with_a_slash_at_its_end_needs_more_path() -> None:
+    index = RouteIndex.build(
+        [("GET", "/yields/", "below"), ("GET", "/yields/7/", "deeper"), ("GET", "/", "root")]
+    )
+    assert index.find("GET", "/yields") == "root"
+    assert index.find("GET", "/yields/") == "below"
+    assert index.find("GET", "/yields/7") == "below"
+    assert index.find("GET", "/yields/7/8?x=1") == "deeper"
--- a/tests/config/test_validation.py
+++ b/tests/config/test_validation.py
@@ -10,6 +10,8 @@
 from wisteria_config import (
     Document,
     DocumentErrors,
+    PublicPolicy,
+    Route,
     VersionOrder,
     VersionStamp,
     canonical_bytes,
@@ -159,3 +161,33 @@
     for domains in ([], [{"name": "north"}, {"name": "north"}]):
         found = places(encode(plain_document(failure_domains=domains)))
         assert [place.split("[")[0] for place in found] == ["$.failure_domains"]
+
+
+def test_hosts_go_before_routes_without_one() -> None:
+    document = Document(
+        1,
+        1,
+        PublicPolicy(1, 1),
+        routes=(
+            Route("any", "s", "GET", "/a"),
+            Route("one", "s", "ANY", "/a", host="One.example"),
+        ),
+    )
+    found = [
+        document.match_route("GET", "/a/b", "one.EXAMPLE"),
+        document.match_route("POST", "/a/b", "one.example"),
+        document.match_route("GET", "/a/b", "two.example"),
+        document.match_route("POST", "/a/b", "two.example"),
+    ]
+    assert [route.id if route else None for route in found] == ["one", "one", "any", None]
+
+
+def test_a_split_names_known_services_and_some_weight() -> None:
+    plain = plain_document()
+    plain["routes"][0]["split"] = [{"service": "nobody", "weight": 0}]
+    errors = validate_document(json.dumps(plain).encode())
+    assert isinstance(errors, DocumentErrors)
+    assert {error.place for error in errors.errors} == {
+        "$.routes[0].split",
+        "$.routes[0].split[0].service",
+    }
--- /dev/null
+++ b/tests/wisteriaproxy/test_log_budget.py
@@ -0,0 +1,41 @@
+"""The bounded volume of log lines."""
+
+import logging
+import os
+
+from wisteriaproxy.log_budget import BoundedHandler, LineBudget, rate_record
+
+
+def make_record(level: int = logging.INFO, **extra: object) -> logging.LogRecord:
+    record = logging.LogRecord("wisteriaproxy.test", level, "", 0, "event", None, None)
+    record.__dict__.update(extra)
+    return record
+
+
+def test_lines_of_least_value_are_dropped_first() -> None:
+    budget = LineBudget()
+    kinds = {
+        "served": rate_record(make_record(request_id="r", code=0)),
+        "refused": rate_record(make_record(request_id="r", code=303)),
+        "belief": rate_record(make_record()),
+        "fault": rate_record(make_record(logging.WARNING, request_id="r")),
+    }
+    written = dict.fromkeys(kinds, 0)
+    for _ in range(2_000):
+        for name, value in kinds.items():
+            written[name] += budget.take(1.0, value)
+    assert 0 < written["served"] < written["refused"] < written["belief"] < written["fault"]
+    assert sum(written.values()) + sum(budget.take_dropped().values()) == 8_000
+
+
+def test_a_reader_that_does_not_read_never_holds_the_writer() -> None:
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer, LineBudget(per_s=1e6, burst=1e6, level=1e6))
+    handler.setFormatter(logging.Formatter("%(message)s " + "x" * 1_000))
+    for _ in range(2_000):
+        handler.emit(make_record(logging.WARNING))
+    assert handler.lost > 0
+    assert os.read(reader, 100).startswith(b"event x")
+    os.close(reader)
+    handler.emit(make_record(logging.WARNING))
+    os.close(writer)
--- /dev/null
+++ b/tests/wisteriaproxy/test_mesh_roster.py
@@ -0,0 +1,73 @@
+"""The list of VMs through outages of the store."""
+
+from wisteria_core import FailureDomain, Vm, VmId, VmState
+from wisteriaproxy.mesh.entries import ServerEntry
+from wisteriaproxy.mesh.roster import RETURN_GRACE_MS, Roster
+
+
+def make_entry(
+    name: str,
+    host: str = "10.0.0.1",
+    revision: int = 1,
+    born: int = 1,
+    state: VmState = VmState.LIVE,
+) -> ServerEntry:
+    vm = Vm(VmId(host), host, 1, 2, FailureDomain("north"), "yield", state, instance=name)
+    return ServerEntry(name, vm, born, revision)
+
+
+def list_instances(roster: Roster) -> list[str]:
+    return [vm.instance for vm in roster.make_list()]
+
+
+def test_a_removed_entry_is_gone_at_once() -> None:
+    roster = Roster()
+    roster.put(make_entry("a"))
+    roster.remove(1_000, "a")
+    assert list_instances(roster) == []
+
+
+def test_an_entry_that_lapsed_during_an_outage_is_kept_for_the_grace() -> None:
+    roster = Roster()
+    roster.put(make_entry("a"))
+    roster.note_outage()
+    roster.note_return(10_000)
+    roster.remove(10_050, "a")
+    assert list_instances(roster) == ["a"]
+    assert not roster.expire(10_000 + RETURN_GRACE_MS - 1)
+    assert roster.expire(10_000 + RETURN_GRACE_MS)
+    assert list_instances(roster) == []
+
+
+def test_an_entry_that_comes_back_within_the_grace_stays() -> None:
+    roster = Roster()
+    roster.put(make_entry("a"))
+    roster.note_outage()
+    roster.note_return(10_000)
+    roster.replace(10_050, [])
+    roster.put(make_entry("a", revision=9))
+    roster.expire(20_000)
+    assert list_instances(roster) == ["a"]
+
+
+def test_a_leaving_server_gets_no_grace() -> None:
+    roster = Roster()
+    roster.put(make_entry("a", state=VmState.LEAVING))
+    roster.note_outage()
+    roster.note_return(10_000)
+    roster.remove(10_050, "a")
+    assert list_instances(roster) == []
+
+
+def test_of_two_processes_at_one_address_the_later_start_counts() -> None:
+    roster = Roster()
+    roster.put(make_entry("old", revision=9, born=1))
+    roster.put(make_entry("new", revision=5, born=2))
+    assert list_instances(roster) == ["new"]
+
+
+def test_an_older_state_of_an_entry_changes_nothing() -> None:
+    roster = Roster()
+    roster.put(make_entry("a", revision=5, state=VmState.LEAVING))
+    roster.put(make_entry("a", revision=4))
+    assert [vm.state for vm in roster.make_list()] == [VmState.LEAVING]
--- a/tests/wisteriaproxy/test_settings.py
+++ b/tests/wisteriaproxy/test_settings.py
@@ -4,8 +4,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wisteriaproxy.settings import Settings, SettingsErrors, load_settings, parse_settings
-from wisteriaproxy.settings_reference import render_reference
+from wisteriaproxy.mesh.settings import MeshSettings
+from wisteriaproxy.settings import (
+    Settings,
+    SettingsErrors,
+    load_settings,
+    parse_settings,
+    parse_settings_of,
+)
+from wisteriaproxy.settings_reference import render_mesh_reference, render_reference
 
 ROOT = Path(__file__).parents[2]
 
@@ -117,3 +124,41 @@
 
 def test_reference_is_current() -> None:
     assert (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8") == render_reference()
+
+
+def test_the_mesh_reference_is_up_to_date() -> None:
+    page = (ROOT / "docs" / "MESH-SETTINGS.md").read_text(encoding="utf-8")
+    assert page == render_mesh_reference()
+
+
+MESH = """
+[vm]
+id = "10.0.0.1"
+service = "yield"
+failure_domain = "north"
+[listen]
+callers = "10.0.0.1:8001"
+peers = "10.0.0.1:8002"
+ready = "10.0.0.1:8003"
+operators = "10.0.0.1:8004"
+[backend]
+address = "10.0.0.1:8005"
+[store]
+address = "10.0.0.9:8006"
+[bounds]
+grace_s = 6
+"""
+
+
+def test_mesh_settings_name_each_error() -> None:
+    sound = parse_settings_of(MeshSettings, MESH, Path())
+    assert isinstance(sound, MeshSettings)
+    assert sound.bounds.grace_s == 6.0
+    broken = MESH.replace("10.0.0.1:8002", "host:1").replace("grace_s = 6", "grace_s = -1\nodd = 1")
+    errors = parse_settings_of(MeshSettings, broken, Path())
+    assert isinstance(errors, SettingsErrors)
+    assert {error.key for error in errors.errors} == {
+        "listen.peers",
+        "bounds.grace_s",
+        "bounds.odd",
+    }
