--- a/libs/admission/src/wisteria_admission/__init__.py
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -1,8 +1,9 @@
 """Adaptive concurrency limit, priority queue and load shedding."""
 
 from .chain import ChainLevels
-from .config import AdmissionConfig, LevelConfig, LimiterConfig
-from .const import RANK_COUNT
+from .config import AdmissionConfig, DemandConfig, LevelConfig, LimiterConfig
+from .const import HASH_RANKS, RANK_COUNT
+from .demand import DemandLevel
 from .gate import AdmissionGate
 from .limiters import AimdLimiter, FixedLimiter, GradientLimiter, Limiter
 from .models import (
@@ -19,6 +20,7 @@
 from .rank import shed_rank
 
 __all__ = [
+    "HASH_RANKS",
     "RANK_COUNT",
     "Action",
     "AdmissionConfig",
@@ -26,6 +28,8 @@
     "AdmissionLevel",
     "AimdLimiter",
     "ChainLevels",
+    "DemandConfig",
+    "DemandLevel",
     "Dispatch",
     "FixedLimiter",
     "GradientLimiter",
--- a/libs/admission/src/wisteria_admission/chain.py
+++ b/libs/admission/src/wisteria_admission/chain.py
@@ -15,6 +15,10 @@
 USE_FLOOR = 0.5
 NEGLIGIBLE_USE = 0.01
 MAX_REPORTERS = 64
+COST_SMOOTHING = 0.02
+"""Weight of one answer in the cost of a route: costs of single requests differ severalfold."""
+LEAST_SPAN = 32
+"""Ranks of the cheapest kinds: an eighth of the costliest, so that none is never shed."""
 MAX_REPRESENTED = 1_000
 SWEEP_MS = 1_000
 
@@ -64,6 +68,7 @@
     _excesses: dict[str, dict[tuple[str, Priority], _Excess]] = attrs.Factory(dict)
     _refused: dict[tuple[str, str, Priority], _Refused] = attrs.Factory(dict)
     _swept_ms: int = 0
+    _costs: dict[str, dict[str, float]] = attrs.Factory(dict)
     _routes: dict[str, dict[str, float]] = attrs.Factory(dict)
 
     def note_answer(
@@ -82,12 +87,15 @@
         if now_ms - self._swept_ms >= SWEEP_MS:
             self.forget_expired(now_ms)
         named = set()
+        costs: dict[str, int] = {}
         for level in levels:
             named.add(level.service)
+            costs[level.service] = costs.get(level.service, 0) + level.work_ms
             heard_ms = now_ms - level.age_ms
             self._note_level(heard_ms, level)
             excess = _Excess(level.excess_milli, heard_ms)
             self._excesses.setdefault(level.service, {})[account, priority] = excess
+        self._note_costs(route, costs)
         uses = self._routes.setdefault(route, {})
         for service in named - uses.keys():
             uses[service] = 1.0
@@ -120,6 +128,22 @@
             return 1
         return 1 + refused.count
 
+    def rank_span(self, now_ms: int, route: str) -> int:
+        """Return the ranks over which requests of `route` are spread.
+
+        They are in proportion to what a request costs in the scarcest service that it needs,
+        against the costliest kind of request there.
+        """
+        needed = self._needed(route)
+        if not needed:
+            return HASH_RANKS
+        scarcest = min(needed, key=lambda name: self._service_threshold(now_ms, name))
+        cost = self._costs.get(route, {}).get(scarcest, 0.0)
+        highest = max((costs.get(scarcest, 0.0) for costs in self._costs.values()), default=0.0)
+        if cost <= 0.0 or highest <= 0.0:
+            return HASH_RANKS
+        return max(LEAST_SPAN, round(HASH_RANKS * cost / highest))
+
     def threshold(self, now_ms: int, route: str) -> int:
         """Return the lowest threshold of the services that `route` needs."""
         return min(
@@ -195,6 +219,14 @@
         """Return the threshold of each known service."""
         return {name: self._service_threshold(now_ms, name) for name in sorted(self._services)}
 
+    def _note_costs(self, route: str, costs: dict[str, int]) -> None:
+        known = self._costs.setdefault(route, {})
+        for service, work_ms in costs.items():
+            if not work_ms:
+                continue
+            before = known.get(service, float(work_ms))
+            known[service] = before + COST_SMOOTHING * (work_ms - before)
+
     def _count_refused(self, now_ms: int, key: tuple[str, str, Priority]) -> None:
         refused = self._refused.get(key)
         if refused is None or now_ms - refused.last_ms >= EXPIRY_MS:
--- a/libs/admission/src/wisteria_admission/config.py
+++ b/libs/admission/src/wisteria_admission/config.py
@@ -69,6 +69,34 @@
     max_step: int = 128
 
 
+@attrs.frozen
+class DemandConfig:
+    """Parameters of the shedding level by demand.
+
+    Parameters
+    ----------
+    interval_ms : int
+        Time between two adjustments.
+    window_ms : int
+        Time constant of the demand: a few hundred calls at a busy server.
+    target_use : float
+        Part of the slots to fill; above it queues grow fast.
+    drain_ms : float
+        Wait that takes the whole capacity for draining it.
+    least_use : float
+        Part of the target that is admitted whatever waits.
+    least_ranks : int
+        Ranks of the first class that does not fit which are admitted all the same.
+    """
+
+    interval_ms: int = 50
+    window_ms: int = 300
+    target_use: float = 0.93
+    drain_ms: float = 300.0
+    least_use: float = 0.5
+    least_ranks: int = 12
+
+
 @attrs.frozen
 class AdmissionConfig:
     """Parameters of one admission gate.
@@ -90,6 +118,8 @@
     sheds_children : bool
         Whether child calls are shed by rank like others. Where only a few kinds of request call
         a service, the work of their parents is lost with them.
+    demand : DemandConfig or None
+        Has the level follow demand and capacity in place of the wait.
     """
 
     limiter: LimiterConfig = LimiterConfig()
@@ -101,3 +131,4 @@
     recheck_wait_factor: float = 0.5
     max_retry_after_ms: int = 10_000
     sheds_children: bool = True
+    demand: DemandConfig | None = None
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -9,6 +9,7 @@
 
 from .config import AdmissionConfig
 from .const import HASH_RANKS, RANK_COUNT
+from .demand import DemandLevel, Level
 from .estimates import RunTimes
 from .levels import LevelController
 from .limiters import AimdLimiter, Limiter
@@ -54,13 +55,17 @@
     _long: _Lane = attrs.field(init=False)
     _times: RunTimes = attrs.field(init=False, factory=RunTimes)
     _shares: ShareTracker = attrs.field(init=False, factory=ShareTracker)
-    _level: LevelController = attrs.field(init=False)
+    _level: Level = attrs.field(init=False)
     _long_served_last: bool = attrs.field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         self._short = _Lane(FairQueue(self.config.newest_first))
         self._long = _Lane(FairQueue())
-        self._level = LevelController(self.config.level)
+        demand = self.config.demand
+        if demand is None:
+            self._level = LevelController(self.config.level)
+        else:
+            self._level = DemandLevel(self.slots, demand)
         self.limiter.set_ceiling(self.slots)
 
     def offer(self, now_ms: int, ticket: Ticket) -> Offer:
@@ -155,6 +160,8 @@
     def set_slots(self, now_ms: int, slots: int) -> list[Action]:
         """Change the number of slots; running calls keep theirs."""
         self.slots = max(1, slots)
+        if isinstance(self._level, DemandLevel):
+            self._level.slots = self.slots
         self.limiter.set_ceiling(self.slots)
         return self._advance(now_ms)
 
@@ -305,6 +312,8 @@
         demand_ms = self._run_ms(now_ms, ticket) * max(1, ticket.represented)
         self._shares.note_demand(ticket.account, ticket.priority, ticket.weight, demand_ms)
         self._level.note_arrival(ticket.rank)
+        excess_milli = self._shares.excess_milli(ticket.account, ticket.priority)
+        self._level.note_demand(ticket.priority, excess_milli, ticket.rank_span, demand_ms)
 
     def _adjust(self, now_ms: int) -> None:
         queue = self._short.queue
--- a/libs/admission/src/wisteria_admission/levels.py
+++ b/libs/admission/src/wisteria_admission/levels.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from wisteria_core import Priority
+
 from .config import LevelConfig
 from .const import RANK_COUNT, RANKS_PER_PRIORITY
 
@@ -48,6 +50,9 @@
         """Count an arrival, admitted or not."""
         self._ranks.append(rank)
 
+    def note_demand(self, priority: Priority, excess_milli: int, span: int, work_ms: float) -> None:
+        """Take no note: what counts is the wait."""
+
     def update(
         self,
         now_ms: int,
--- a/libs/admission/src/wisteria_admission/models.py
+++ b/libs/admission/src/wisteria_admission/models.py
@@ -7,7 +7,7 @@
 
 from wisteria_core import Priority, Refusal
 
-from .const import RANK_COUNT
+from .const import HASH_RANKS, RANK_COUNT
 
 
 class Outcome(enum.Enum):
@@ -51,6 +51,8 @@
         Identifier (never the secret) of the caller's key, for `AdmissionGate.withdraw`.
     is_child : bool
         Whether a request that was admitted above makes the call.
+    rank_span : int
+        Ranks over which requests of its kind are spread within their priority and share.
     """
 
     call_id: Hashable
@@ -65,6 +67,7 @@
     represented: int = 1
     key_id: str = ""
     is_child: bool = False
+    rank_span: int = HASH_RANKS
 
 
 @attrs.frozen
@@ -126,6 +129,8 @@
         fair share of the account there.
     age_ms : int
         Age of the level when the answer was sent, for levels passed on.
+    work_ms : int
+        Time for which the request held slots of the service, in milliseconds.
     """
 
     service: str
@@ -133,3 +138,4 @@
     threshold: int = RANK_COUNT
     excess_milli: int = 0
     age_ms: int = 0
+    work_ms: int = 0
--- a/libs/admission/src/wisteria_admission/rank.py
+++ b/libs/admission/src/wisteria_admission/rank.py
@@ -7,7 +7,9 @@
 from .const import HASH_RANKS, MILLI, RANKS_PER_PRIORITY
 
 
-def shed_rank(priority: Priority, excess_milli: int, request_id: str) -> int:
+def shed_rank(
+    priority: Priority, excess_milli: int, request_id: str, span: int = HASH_RANKS
+) -> int:
     """Return the shed rank of a request; higher ranks are shed first.
 
     Parameters
@@ -20,6 +22,9 @@
         priority.
     request_id : str
         Stable over the whole chain; spreads the requests evenly.
+    span : int
+        Ranks over which requests of this kind are spread; a smaller span lets more of them
+        through.
 
     Returns
     -------
@@ -27,6 +32,6 @@
         In ``range(RANK_COUNT)``.
     """
     value = int(xxhash.xxh3_64_intdigest(request_id.encode()))
-    spread = value % HASH_RANKS
+    spread = value % HASH_RANKS * span // HASH_RANKS
     exceeds = value // HASH_RANKS % MILLI < excess_milli
     return int(priority) * RANKS_PER_PRIORITY + int(exceeds) * HASH_RANKS + spread
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -28,6 +28,8 @@
         Deadline on this daemon's clock, in milliseconds.
     allowance : RetryAllowance
         Retries that were lent to the call, for it to lend to child calls.
+    started_ms : int
+        When it was sent to the backend server.
     levels : dict
         Admission levels that came with the answers to child calls, at any depth, each with
         the time at which it was heard.
@@ -41,6 +43,7 @@
     head: CallHead
     deadline_at_ms: int
     allowance: RetryAllowance
+    started_ms: int = 0
     levels: dict[tuple[str, str], tuple[int, AdmissionLevel]] = attrs.field(factory=dict)
     children: set[anyio.CancelScope] = attrs.field(factory=set)
     child_failed: bool = False
@@ -64,8 +67,13 @@
     def note_levels(self, now_ms: int, levels: tuple[AdmissionLevel, ...]) -> None:
         """Keep the levels of a child call's answer for the own answer."""
         for level in levels:
-            if len(self.levels) < MAX_LEVELS:
-                self.levels[level.service, level.vm_id] = (now_ms, level)
+            key = (level.service, level.vm_id)
+            known = self.levels.get(key)
+            if known is not None:
+                # what the request costs there adds up over its child calls
+                level = attrs.evolve(level, work_ms=level.work_ms + known[1].work_ms)
+            if known is not None or len(self.levels) < MAX_LEVELS:
+                self.levels[key] = (now_ms, level)
 
     def relay_levels(self, now_ms: int) -> tuple[AdmissionLevel, ...]:
         """Return the levels of the services below, each with its age.
@@ -98,10 +106,11 @@
     def __len__(self) -> int:
         return len(self._calls)
 
-    def add(self, head: CallHead, deadline_at_ms: int) -> RunningCall:
+    def add(self, head: CallHead, deadline_at_ms: int, started_ms: int = 0) -> RunningCall:
         """Register a call that is about to run and return its record."""
         token = secrets.token_urlsafe(TOKEN_BYTES)
-        call = RunningCall(token, head, deadline_at_ms, RetryAllowance(head.allowance))
+        allowance = RetryAllowance(head.allowance)
+        call = RunningCall(token, head, deadline_at_ms, allowance, started_ms)
         self._calls[token] = call
         return call
 
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from wisteria_admission import ChainLevels, shed_rank
+from wisteria_admission import HASH_RANKS, ChainLevels, shed_rank
 from wisteria_config import Document, Route
 from wisteria_core import Clock, Refusal, ResultCode, RunState
 from wisteria_limits import Admitted
@@ -252,12 +252,16 @@
             likely = plan.caller.likely_parent
             if likely is None:
                 return await self._run(plan, allowance, rank=0, represented=1)
-            return await self._run(plan, allowance, likely.head.rank, likely.head.represented)
+            head = likely.head
+            return await self._run(
+                plan, allowance, head.rank, head.represented, span=head.rank_span
+            )
         now_ms = self.clock.now_ms()
         account = plan.caller.account
         priority = plan.route.priority
         excess_milli = self.levels.excess_milli(now_ms, account, priority, plan.route.id)
-        rank = shed_rank(priority, excess_milli, plan.request_id)
+        span = self.levels.rank_span(now_ms, plan.route.id)
+        rank = shed_rank(priority, excess_milli, plan.request_id, span)
         refusal = self.levels.should_shed(now_ms, rank, plan.route.id, account, priority)
         if refusal is not None:
             threshold = self.levels.threshold(now_ms, plan.route.id)
@@ -271,7 +275,7 @@
             self.clock.now_ms(), plan.route.id, account, priority
         )
         allowance = RetryAllowance(plan.route.retry_allowance)
-        return await self._run(plan, allowance, rank, represented, admitted)
+        return await self._run(plan, allowance, rank, represented, admitted, span)
 
     async def _run(
         self,
@@ -280,8 +284,9 @@
         rank: int,
         represented: int,
         admitted: Admitted | None = None,
+        span: int = HASH_RANKS,
     ) -> ResultCode:
-        head = self._make_head(plan, rank, represented)
+        head = self._make_head(plan, rank, represented, span)
         if plan.route.repeatable:
             forwarded = await self.forwarder.forward(head, plan.deadline_at_ms, allowance)
         else:
@@ -306,7 +311,7 @@
             if forwarded.reply is not None:
                 forwarded.reply.cancel()
 
-    def _make_head(self, plan: Plan, rank: int, represented: int) -> CallHead:
+    def _make_head(self, plan: Plan, rank: int, represented: int, span: int) -> CallHead:
         request, route, caller = plan.request, plan.route, plan.caller
         parent = caller.parent.head if caller.parent is not None else None
         likely = caller.likely_parent.head if caller.likely_parent is not None else parent
@@ -333,6 +338,7 @@
             weight=caller.weight,
             repeatable=route.repeatable,
             represented=represented,
+            rank_span=span,
         )
 
     def _learn(self, plan: Plan, head: AnswerHead) -> None:
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -10,7 +10,13 @@
 import attrs
 from anyio.abc import TaskGroup
 
-from wisteria_admission import AdmissionConfig, AdmissionGate, ChainLevels, FixedLimiter
+from wisteria_admission import (
+    AdmissionConfig,
+    AdmissionGate,
+    ChainLevels,
+    DemandConfig,
+    FixedLimiter,
+)
 from wisteria_config import Document
 from wisteria_core import Clock, FailureDomain, Refusal, ResultCode, VmId, VmList
 from wisteria_limits import DemandShares, ShareConfig
@@ -60,7 +66,7 @@
 """Part of the grace after which calls in flight are cut, so that the daemon ends by itself."""
 CHOOSER_CONFIG = ChooserConfig(local_load=0.5)
 """The own failure domain goes first up to half load, where no server queues yet."""
-ADMISSION_CONFIG = AdmissionConfig(reserve_share=0.02, sheds_children=False)
+ADMISSION_CONFIG = AdmissionConfig(reserve_share=0.02, sheds_children=False, demand=DemandConfig())
 """A slot or two stay free for urgent calls; calls of admitted work run unless it is hopeless."""
 OVERAGE_PART = 0.5
 """Part of what operators let an account exceed its rate by that is admitted on purpose; the
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -174,7 +174,7 @@
             self._log_refusal(served.head, refusal)
             served.responder.send_answer(self._dress(refusal_to_head(refusal), served.head, None))
             return
-        call = self.registry.add(served.head, served.deadline_at_ms)
+        call = self.registry.add(served.head, served.deadline_at_ms, self.clock.now_ms())
         served.call = call
         try:
             await self._run(served, call)
@@ -231,6 +231,7 @@
             represented=head.represented,
             key_id=head.key_id,
             is_child=head.hops > 0,
+            rank_span=head.rank_span,
         )
         offer = self.gate.offer(self.clock.now_ms(), ticket)
         self._apply(offer.evicted)
@@ -380,7 +381,9 @@
         own = self.gate.level(call.account, call.priority)
         if running is None:
             return (own,)
-        return (own, *running.relay_levels(self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        own = attrs.evolve(own, work_ms=max(1, now_ms - running.started_ms))
+        return (own, *running.relay_levels(now_ms))
 
 
 def _judge(status: int) -> Outcome:
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -70,6 +70,7 @@
     message.repeatable = head.repeatable
     message.represented = head.represented
     message.instance = head.instance
+    message.rankSpan = head.rank_span
     return bytes(message.to_bytes())
 
 
@@ -105,6 +106,7 @@
                 repeatable=message.repeatable,
                 represented=message.represented,
                 instance=message.instance,
+                rank_span=message.rankSpan,
             )
     except (capnp.KjException, ValueError):
         return FrameFault.GARBLED
@@ -167,9 +169,15 @@
         builder.threshold = level.threshold
         builder.excessMilli = level.excess_milli
         builder.ageMs = level.age_ms
+        builder.workMs = level.work_ms
 
 
 def _read_level(reader: Any) -> AdmissionLevel:
     return AdmissionLevel(
-        reader.service, reader.vmId, reader.threshold, reader.excessMilli, reader.ageMs
+        reader.service,
+        reader.vmId,
+        reader.threshold,
+        reader.excessMilli,
+        reader.ageMs,
+        reader.workMs,
     )
--- a/libs/wire/src/wisteria_wire/models.py
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wisteria_admission import AdmissionLevel
+from wisteria_admission import HASH_RANKS, AdmissionLevel
 from wisteria_core import Priority, ResultCode, RunState, VmId
 
 
@@ -83,6 +83,8 @@
         since the last one of the account.
     instance : str
         Process of the backend server that must run the call; empty for any.
+    rank_span : int
+        Ranks over which requests of this kind are spread, see `ChainLevels.rank_span`.
     """
 
     request_id: str
@@ -109,6 +111,7 @@
     repeatable: bool = False
     represented: int = 1
     instance: str = ""
+    rank_span: int = HASH_RANKS
 
 
 @attrs.frozen
--- a/libs/wire/src/wisteria_wire/wire.capnp
+++ b/libs/wire/src/wisteria_wire/wire.capnp
@@ -31,6 +31,7 @@
   repeatable @21 :Bool;
   represented @22 :UInt32 = 1;
   instance @23 :Text;
+  rankSpan @24 :UInt16 = 256;
 }
 
 struct AnswerHead {
@@ -56,4 +57,5 @@
   threshold @2 :UInt32;
   excessMilli @3 :UInt16;
   ageMs @4 :UInt32;
+  workMs @5 :UInt32;
 }
