--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import attrs
-from anyio.abc import TaskGroup
 
 from wisteria_wire import (
     CALLER_BACKLOG,
@@ -16,6 +15,7 @@
 
 from .entry import EntryPort
 from .settings import TlsSettings
+from .task_keeper import Spawner
 
 
 @attrs.define(eq=False)
@@ -23,7 +23,7 @@
     """Listens for callers and for the backend server's child calls."""
 
     entry: EntryPort
-    tasks: TaskGroup
+    spawn: Spawner
     tls: TlsSettings | None
     read_limits: Callable[[], CallerLimits] = CallerLimits
     _connections: set[HttpServerConnection] = attrs.field(factory=set)
@@ -51,4 +51,4 @@
         return HttpServerConnection(self._start, self._connections, self.read_limits)
 
     def _start(self, request: HttpRequest) -> None:
-        self.tasks.start_soon(self.entry.handle, request)
+        self.spawn(self.entry.handle, request)
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -2,12 +2,11 @@
 
 import secrets
 
-import anyio
 import attrs
 
 from wisteria_admission import AdmissionLevel
 from wisteria_routing import RetryAllowance
-from wisteria_wire import CallHead
+from wisteria_wire import CallHead, CallScope
 
 TOKEN_BYTES = 16
 MAX_LEVELS = 32
@@ -45,18 +44,18 @@
     allowance: RetryAllowance
     started_ms: int = 0
     levels: dict[tuple[str, str], tuple[int, AdmissionLevel]] = attrs.field(factory=dict)
-    children: set[anyio.CancelScope] = attrs.field(factory=set)
+    children: set[CallScope] = attrs.field(factory=set)
     child_failed: bool = False
     _waited_ms: int = 0
     _waiting_since_ms: int | None = None
 
-    def begin_child(self, now_ms: int, scope: anyio.CancelScope) -> None:
+    def begin_child(self, now_ms: int, scope: CallScope) -> None:
         """Register a child call."""
         if not self.children:
             self._waiting_since_ms = now_ms
         self.children.add(scope)
 
-    def end_child(self, now_ms: int, scope: anyio.CancelScope) -> None:
+    def end_child(self, now_ms: int, scope: CallScope) -> None:
         """Forget a child call that has ended."""
         self.children.discard(scope)
         if self.children or self._waiting_since_ms is None:
--- a/libs/daemon/src/wisteriaproxy/downloads.py
+++ b/libs/daemon/src/wisteriaproxy/downloads.py
@@ -7,7 +7,7 @@
 
 from wisteria_core import Refusal, ResultCode, RunState, VmId
 from wisteria_routing import RetryAllowance
-from wisteria_wire import CallHead, HttpExchange
+from wisteria_wire import CallHead, CallScope, HttpExchange
 
 from .const import ATTR_REQUEST_ID
 from .forward import Forwarded, Forwarder
@@ -38,7 +38,7 @@
     exchange: HttpExchange
     head: CallHead
     allowance: RetryAllowance
-    scope: anyio.CancelScope
+    scope: CallScope
     tried: frozenset[VmId] = frozenset()
 
     async def run(self, forwarded: Forwarded, headers: tuple[str, ...]) -> ResultCode:
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -1,10 +1,10 @@
 """The entry side: takes a caller's request, decides whether it may run, sends it on."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import Protocol
 
-import anyio
 import attrs
 
 from wisteria_admission import HASH_RANKS, ChainLevels, shed_rank
@@ -12,7 +12,7 @@
 from wisteria_core import Clock, Refusal, ResultCode, RunState
 from wisteria_limits import Admitted
 from wisteria_routing import RetryAllowance, TrafficSplitter
-from wisteria_wire import AnswerHead, CallHead, HttpRequest
+from wisteria_wire import AnswerHead, CallHead, CallScope, HttpRequest
 
 from .answers import head_to_refusal
 from .const import ATTR_CODE, ATTR_REQUEST_ID
@@ -75,7 +75,7 @@
     deadline_at_ms: int
     idempotency_key: str
     document: Document
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    scope: CallScope = attrs.field(factory=CallScope)
     trace: dict[str, object] = attrs.field(factory=dict)
 
     def describe(self, started_ms: int) -> dict[str, object]:
@@ -172,7 +172,7 @@
         left to the serving daemon for a moment, which knows whether it ran.
         """
         ended = 0
-        grace_until = anyio.current_time() + WITHDRAWAL_GRACE_MS / _MS_PER_S
+        grace_until = asyncio.get_running_loop().time() + WITHDRAWAL_GRACE_MS / _MS_PER_S
         for plan in list(self._open):
             caller = plan.caller
             if not caller.key_id or document.holds_key(caller.key_id, caller.key_digest):
@@ -236,7 +236,7 @@
 
     def _scope_deadline(self, now_ms: int, plan: Plan) -> float:
         left_ms = plan.deadline_at_ms - now_ms + self.answer_grace_ms
-        return anyio.current_time() + left_ms / _MS_PER_S
+        return asyncio.get_running_loop().time() + left_ms / _MS_PER_S
 
     # serving
 
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -1,5 +1,6 @@
 """The daemon in a mesh: builds its parts, feeds them what the platform publishes, stops."""
 
+import asyncio
 import logging
 import signal
 from pathlib import Path
@@ -38,6 +39,7 @@
 from ..responders import LocalCall
 from ..serving import ServingPort
 from ..settings import SettingsErrors, load_settings_of
+from ..task_keeper import TaskKeeper
 from .const import (
     ANSWER_GRACE_MS,
     FORGET_INTERVAL_MS,
@@ -97,6 +99,7 @@
         self.settings = settings
         self.clock = clock
         self.tasks = tasks
+        self.call_tasks = TaskKeeper(asyncio.get_running_loop())
         self.stopping = anyio.Event()
         self.published: Published | None = None
         self.vm_list: VmList | None = None
@@ -192,7 +195,7 @@
             answer_grace_ms=ANSWER_GRACE_MS,
             log_level=logging.INFO,
         )
-        self.callers = CallerPort(self.entry, self.tasks, None, self._read_limits)
+        self.callers = CallerPort(self.entry, self.call_tasks.spawn, None, self._read_limits)
 
     # LinkOwner
 
@@ -207,7 +210,7 @@
 
     def handle_call(self, served: ServedCall, head: CallHead) -> None:
         """Serve a call of another daemon."""
-        self.tasks.start_soon(self.serving.serve, served, head)
+        self.call_tasks.spawn(self.serving.serve, served, head)
 
     def handle_control(self, link: Link, kind: int, payload: bytes) -> None:
         """Take in a control message."""
@@ -382,6 +385,7 @@
             self.entry.cancel_all()
             self.serving.cancel_all()
             await anyio.sleep(_STOP_POLL_S)
+        self.call_tasks.cancel_all()
         await self.links.async_unload()
         await self.backend.async_unload()
         await self.ready_port.async_unload()
@@ -435,7 +439,7 @@
     # own
 
     def _serve_locally(self, call: LocalCall, head: CallHead) -> None:
-        self.tasks.start_soon(self.serving.serve, call, head)
+        self.call_tasks.spawn(self.serving.serve, call, head)
 
     def _count_in_flight(self) -> int:
         return self.entry.in_flight + self.serving.in_flight
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -291,7 +291,7 @@
         serving=serving,
         once=once,
         entry=entry,
-        callers=CallerPort(entry, identity.tasks, settings.tls),
+        callers=CallerPort(entry, identity.tasks.start_soon, settings.tls),
     )
 
 
--- a/libs/daemon/src/wisteriaproxy/responders.py
+++ b/libs/daemon/src/wisteriaproxy/responders.py
@@ -1,9 +1,9 @@
 """Where a serving daemon sends an answer: a link, or the entry side of the same daemon."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
-import anyio
 import attrs
 
 from wisteria_core import Refusal
@@ -50,9 +50,9 @@
     on_cancel: Callable[[], None] | None = None
     is_cancelled: bool = False
     _answer: AnswerHead | None = None
-    _ready: anyio.Event = attrs.field(factory=anyio.Event)
+    _ready: asyncio.Event = attrs.field(factory=asyncio.Event)
     _outstanding: int = 0
-    _room: anyio.Event | None = None
+    _room: asyncio.Event | None = None
 
     def __attrs_post_init__(self) -> None:
         self.body.on_consumed = self._note_consumed
@@ -74,7 +74,7 @@
     async def send_body(self, data: bytes) -> bool:
         """Pass body bytes on once the reader has room."""
         while self._outstanding >= self.window_bytes and not self.is_cancelled:
-            self._room = anyio.Event()
+            self._room = asyncio.Event()
             await self._room.wait()
         if self.is_cancelled:
             return False
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -1,5 +1,6 @@
 """The serving side: admits a call, runs it on the backend server, sends the answer back."""
 
+import asyncio
 import enum
 import logging
 from collections import Counter
@@ -20,7 +21,7 @@
 )
 from wisteria_config import Document
 from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
-from wisteria_wire import INLINE_BODY_BYTES, AnswerHead, CallHead, HttpCall
+from wisteria_wire import INLINE_BODY_BYTES, AnswerHead, CallHead, CallScope, HttpCall
 
 from .answers import refusal_to_head
 from .backend import BackendServer
@@ -56,13 +57,13 @@
 
     head: CallHead
     responder: Responder
-    scope: anyio.CancelScope
+    scope: CallScope
     deadline_at_ms: int
     phase: _Phase = _Phase.WAITING
     outcome: Outcome = Outcome.CANCELLED
     sent_at_ms: int = 0
     verdict: Refusal | None = None
-    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    decided: asyncio.Event = attrs.field(factory=asyncio.Event)
     ended_by: Refusal | None = None
     call: RunningCall | None = None
 
@@ -115,7 +116,8 @@
     async def serve(self, responder: Responder, head: CallHead) -> None:
         """Serve one call to its end; every outcome is sent to `responder`."""
         now_ms = self.clock.now_ms()
-        scope = anyio.CancelScope(deadline=anyio.current_time() + head.remaining_ms / _MS_PER_S)
+        deadline = asyncio.get_running_loop().time() + head.remaining_ms / _MS_PER_S
+        scope = CallScope(deadline)
         served = _Served(head, responder, scope, now_ms + head.remaining_ms)
         responder.on_cancel = scope.cancel
         if responder.is_cancelled:
@@ -329,7 +331,7 @@
         stall_s = served.head.stall_ms / _MS_PER_S
         while True:
             if served.head.long:
-                served.scope.deadline = anyio.current_time() + stall_s
+                served.scope.deadline = asyncio.get_running_loop().time() + stall_s
             chunk = await http_call.answer.body.receive()
             if chunk is None:
                 served.responder.finish_body()
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -7,6 +7,7 @@
 from .link import Link, LinkOwner, PendingCall, ServedCall
 from .models import AnswerHead, CallHead, Hello
 from .pool import LinkPool
+from .scope import CallScope
 from .tls import PeerMaterial, make_caller_context
 
 __all__ = [
@@ -16,6 +17,7 @@
     "AnswerHead",
     "BodyStream",
     "CallHead",
+    "CallScope",
     "CallerLimits",
     "Hello",
     "HttpAnswer",
--- a/libs/wire/src/wisteria_wire/body.py
+++ b/libs/wire/src/wisteria_wire/body.py
@@ -1,9 +1,9 @@
 """A body that is read while it still arrives, within bounded memory."""
 
+import asyncio
 from collections import deque
 from collections.abc import Callable
 
-import anyio
 import attrs
 
 from wisteria_core import Refusal
@@ -35,7 +35,7 @@
     _unreported: int = 0
     _ended: bool = False
     _refusal: Refusal | None = None
-    _ready: anyio.Event | None = None
+    _ready: asyncio.Event | None = None
 
     @property
     def is_ended(self) -> bool:
@@ -68,7 +68,7 @@
         while not self._chunks:
             if self._ended:
                 return self._refusal
-            self._ready = anyio.Event()
+            self._ready = asyncio.Event()
             await self._ready.wait()
         chunk = self._chunks.popleft()
         self._report(len(chunk))
--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -80,7 +80,7 @@
     request before the task has run.
     """
 
-    ready: anyio.Event = attrs.field(factory=anyio.Event)
+    ready: asyncio.Event = attrs.field(factory=asyncio.Event)
     answer: HttpAnswer | Refusal | None = None
 
 
--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -7,7 +7,6 @@
 from http import HTTPStatus
 from typing import cast
 
-import anyio
 import attrs
 import httptools
 
@@ -173,6 +172,7 @@
         connections: set["HttpServerConnection"],
         read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
     ) -> None:
+        self._loop: asyncio.AbstractEventLoop
         self._read_limits = read_limits
         self._limits = read_limits()
         self._expires_at: float | None = None
@@ -183,7 +183,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._current: HttpExchange | None = None
         self._waiting: deque[HttpRequest] = deque()
-        self._writable: anyio.Event | None = None
+        self._writable: asyncio.Event | None = None
         self._closing = False
         self._reset()
 
@@ -194,6 +194,7 @@
         # uvloop's TLS transport is no subclass of asyncio.Transport
         self._transport = cast(asyncio.Transport, transport)
         self._connections.add(self)
+        self._loop = asyncio.get_running_loop()
         self._expire_after(self._limits.idle_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -223,7 +224,7 @@
 
     def pause_writing(self) -> None:
         """Hold the writer until the caller has read."""
-        self._writable = anyio.Event()
+        self._writable = asyncio.Event()
 
     def resume_writing(self) -> None:
         """Let the writer go on."""
@@ -321,18 +322,16 @@
 
     def _expire_after(self, limit_ms: int) -> None:
         """Close the connection unless something arrives within `limit_ms`."""
-        loop = asyncio.get_running_loop()
-        self._expires_at = loop.time() + limit_ms / _MS_PER_S
+        self._expires_at = self._loop.time() + limit_ms / _MS_PER_S
         if self._timer is None:
-            self._timer = loop.call_at(self._expires_at, self._check_expiry)
+            self._timer = self._loop.call_at(self._expires_at, self._check_expiry)
 
     def _check_expiry(self) -> None:
         self._timer = None
         if self._expires_at is None or self._closing:
             return
-        loop = asyncio.get_running_loop()
-        if loop.time() < self._expires_at:
-            self._timer = loop.call_at(self._expires_at, self._check_expiry)
+        if self._loop.time() < self._expires_at:
+            self._timer = self._loop.call_at(self._expires_at, self._check_expiry)
         elif self._current is None:
             self.close()
 
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-import anyio
 import attrs
 
 from wisteria_core import Refusal, ResultCode, RunState, VmId
@@ -56,7 +55,7 @@
     call_id: int
     body: BodyStream = attrs.field(factory=BodyStream)
     _answer: AnswerHead | Refusal | None = None
-    _ready: anyio.Event = attrs.field(factory=anyio.Event)
+    _ready: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def wait_answer(self) -> AnswerHead | Refusal:
         """Return the head of the answer, or a refusal when the link is lost."""
@@ -85,7 +84,7 @@
     on_cancel: Callable[[], None] | None = None
     is_cancelled: bool = False
     _credit: int = WINDOW_BYTES
-    _credit_grown: anyio.Event | None = None
+    _credit_grown: asyncio.Event | None = None
     _sent_bytes: int = 0
 
     def send_answer(self, head: AnswerHead) -> None:
@@ -97,7 +96,7 @@
     async def send_body(self, data: bytes) -> bool:
         """Send body bytes once the peer has room; False when the call was cancelled."""
         while self._credit <= 0 and not self.is_cancelled:
-            self._credit_grown = anyio.Event()
+            self._credit_grown = asyncio.Event()
             await self._credit_grown.wait()
         if self.is_cancelled:
             return False
@@ -152,8 +151,8 @@
         self.peer: Hello | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
-        self.opened = anyio.Event()
-        self.closed = anyio.Event()
+        self.opened = asyncio.Event()
+        self.closed = asyncio.Event()
         self._owner = owner
         self._hello = hello
         self._expected = expected
--- a/tests/admission/graph_model.py
+++ b/tests/admission/graph_model.py
@@ -114,7 +114,9 @@
         self._fleet = {
             service: [
                 _Server(
-                    AdmissionGate(slots, service, f"{service}{n}", self.admission, FixedLimiter(slots)),
+                    AdmissionGate(
+                        slots, service, f"{service}{n}", self.admission, FixedLimiter(slots)
+                    ),
                     speed,
                 )
                 for n, (slots, speed) in enumerate(servers)
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -12,7 +12,7 @@
 import anyio
 import attrs
 import httptools
-from anyio.abc import TaskGroup
+from anyio.abc import TaskGroup, TaskStatus
 
 from wisteria_core import Clock
 from wisteriaproxy.mesh.app import MeshDaemon
@@ -324,7 +324,6 @@
     host: str
     upstream: Upstream
     daemon: MeshDaemon
-    scope: anyio.CancelScope
 
 
 @attrs.define(eq=False)
@@ -388,11 +387,9 @@
         upstream = Upstream(host, f"i-{len(self.nodes)}")
         await upstream.http.async_setup()
         settings = self._make_settings(host)
-        scope = anyio.CancelScope()
-        daemon = MeshDaemon(settings, Path(self._folder.name), PLATFORM, Clock(), self._tasks)
-        node = Node(host, upstream, daemon, scope)
+        daemon = await self._tasks.start(self._run, settings)
+        node = Node(host, upstream, daemon)
         self.nodes.append(node)
-        self._tasks.start_soon(self._run, node)
         if registers:
             self.register(node)
         return node
@@ -428,8 +425,12 @@
         known = node.daemon.vm_list
         return node.daemon.is_ready() and known is not None and len(known) >= len(self.nodes)
 
-    async def _run(self, node: Node) -> None:
-        await node.daemon.run()
+    async def _run(self, settings: MeshSettings, *, task_status: TaskStatus[MeshDaemon]) -> None:
+        async with anyio.create_task_group() as tasks:
+            path = Path(self._folder.name)
+            daemon = MeshDaemon(settings, path, PLATFORM, Clock(), tasks)
+            task_status.started(daemon)
+            await daemon.run()
 
     def _host(self, last: int) -> str:
         return f"127.77.{self.subnet}.{last}"
