--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -70,7 +70,7 @@
 """The own failure domain goes first up to half load, where no server queues yet."""
 ADMISSION_CONFIG = AdmissionConfig(reserve_share=0.02, sheds_children=False, demand=DemandConfig())
 """A slot or two stay free for urgent calls; calls of admitted work run unless it is hopeless."""
-OVERAGE_PART = 0.5
+OVERAGE_PART = 0.7
 """Part of what operators let an account exceed its rate by that is admitted on purpose; the
 rest is left for what daemons admit before they hear of one another."""
 
