--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -42,8 +42,6 @@
 from ..task_keeper import TaskKeeper
 from .const import (
     ANSWER_GRACE_MS,
-    FORGET_INTERVAL_MS,
-    NEWS_INTERVAL_MS,
     SETTINGS_POLL_MS,
 )
 from .endpoints import (
@@ -54,8 +52,7 @@
     make_ready_page,
     make_status_page,
 )
-from .messages import DocumentAsk, PeerNews, PublishedDocument
-from .peers import PeerBoard
+from .news import NewsExchange
 from .rates import ShareRates
 from .settings import MeshSettings, read_address
 from .sources import Platform, Published
@@ -108,10 +105,8 @@
         self.metrics = Metrics()
         self.audit = AuditTrail(counts=self.metrics.counter(AUDIT_EVENTS))
         self._settings_path = settings_path
-        self._opened_ms: dict[Link, int] = {}
         self._source = platform.make_source(settings, clock, self.metrics)
         random = Random(self.incarnation)
-        self.board = PeerBoard()
         bounds = settings.bounds
         self.shares = DemandShares(
             self.vm_id,
@@ -132,9 +127,20 @@
         self.control = ControlPlane(
             self.vm_id, self.incarnation, self.links, tasks, self.fleet.find_vm
         )
-        self.control.register(self._handle_news, PeerNews)
-        self.control.register(self._handle_ask, DocumentAsk)
-        self.control.register(self._handle_document, PublishedDocument)
+        self.news = NewsExchange(
+            self.vm_id,
+            clock,
+            tasks,
+            self.links,
+            self.control,
+            self.shares,
+            self._source,
+            is_leaving=lambda: self.serving.is_leaving,
+            read_published=lambda: self.published,
+            read_list=lambda: self.vm_list,
+            put_document=self.put_document,
+            on_change=self.fleet.refresh,
+        )
         self.gaps = GapMonitor(clock, settings.timing.loop_gap_ms, self.metrics, self._handle_gap)
         self._build_call_path(platform, random)
         self.ready_port = Endpoint({"*": make_ready_page(self.is_ready)})
@@ -176,7 +182,7 @@
             crashes=crashes,
         )
         forwarder = Forwarder(
-            self.fleet, self, self.links, clock, random, self.vm_id, self._serve_locally
+            self.fleet, self.news, self.links, clock, random, self.vm_id, self._serve_locally
         )
         self.entry = EntryPort(
             dialect=platform.caller_dialect(
@@ -203,9 +209,7 @@
         """Keep the link of a peer and tell it the news."""
         assert link.peer is not None
         self.links.add(link)
-        self._opened_ms[link] = self.clock.now_ms()
-        self.fleet.refresh()
-        self.control.send(link.peer.vm_id, self._make_news())
+        self.news.note_link_open(link)
         return True
 
     def handle_call(self, served: ServedCall, head: CallHead) -> None:
@@ -219,24 +223,8 @@
     def handle_link_closed(self, link: Link, reason: str) -> None:
         """Forget a link."""
         self.links.remove(link)
-        self._opened_ms.pop(link, None)
         self.metrics.counter(LINK_FAULTS).add((reason,))
-        if link.peer is None or self.links.find(link.peer.vm_id) is not None:
-            return
-        _LOGGER.info("peer_lost", extra={"peer": link.peer.vm_id, "reason": reason})
-        self.board.note_link_lost(link.peer.vm_id)
-        self.fleet.refresh()
-
-    # PeerNotes
-
-    def note_call(self, vm_id: VmId, *, was_reached: bool) -> None:
-        """Take in whether a call reached a daemon; the link itself says the rest."""
-
-    def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
-        """Take in what an answer said of whether a VM takes new work."""
-        if self.board.note_leaving(self.clock.now_ms(), vm_id, is_leaving):
-            _LOGGER.info("peer_leaving", extra={"peer": vm_id, "leaving": is_leaving})
-            self.fleet.refresh()
+        self.news.note_link_closed(link, reason)
 
     # Listener
 
@@ -263,7 +251,7 @@
             from_version=known,
             to_version=document.version,
         )
-        self._spread_news()
+        self.news.spread()
 
     def put_list(self, vm_list: VmList) -> None:
         """Put a list of VMs in force."""
@@ -280,9 +268,7 @@
         for vm_id in before.keys() | after.keys():
             if before.get(vm_id) != after.get(vm_id):
                 self._log_vm(vm_id, after)
-        for vm in vm_list:
-            if vm.vm_id != self.vm_id and self.links.find(vm.vm_id) is None:
-                self.tasks.start_soon(self.links.obtain, vm)
+        self.news.dial_missing()
 
     @staticmethod
     def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
@@ -291,57 +277,6 @@
         instance = vm.instance if vm is not None else ""
         _LOGGER.info("vm_changed", extra={"vm": vm_id, "state": state, "instance": instance})
 
-    # peers
-
-    def _handle_news(self, sender: VmId, incarnation: int, news: PeerNews) -> None:
-        now_ms = self.clock.now_ms()
-        if self.board.note_news(now_ms, sender, news):
-            _LOGGER.info("peer_leaving", extra={"peer": sender, "leaving": news.leaving})
-            self.fleet.refresh()
-        self.shares.note_report(now_ms, sender, incarnation, news.uses)
-        version = self._read_version()
-        if news.config_version > version:
-            self.control.send(sender, DocumentAsk(version))
-
-    def _handle_ask(self, sender: VmId, _incarnation: int, ask: DocumentAsk) -> None:
-        if self.published is not None and self.published.document.version > ask.above:
-            version = self.published.document.version
-            self.control.send(sender, PublishedDocument(version, self.published.content))
-
-    def _handle_document(self, sender: VmId, _incarnation: int, found: PublishedDocument) -> None:
-        if found.version <= self._read_version():
-            return
-        published = self._source.decode_document(found.content)
-        if published is None:
-            _LOGGER.warning("document_unreadable", extra={"peer": sender, "version": found.version})
-            return
-        self.put_document(published, sender)
-
-    def _make_news(self) -> PeerNews:
-        return PeerNews(
-            self._read_version(), self.serving.is_leaving, self.shares.report(self.clock.now_ms())
-        )
-
-    def _spread_news(self) -> None:
-        self.control.spread(self._make_news())
-
-    async def _run_news(self) -> None:
-        """Tell every peer the news, close silent links, dial missing ones; until cancelled."""
-        swept_ms = 0
-        while True:
-            await anyio.sleep(NEWS_INTERVAL_MS / _MS_PER_S)
-            now_ms = self.clock.now_ms()
-            for link, opened_ms in list(self._opened_ms.items()):
-                if link.peer and self.board.is_silent(now_ms, link.peer.vm_id, opened_ms):
-                    link.close("silent")
-            self._spread_news()
-            if now_ms - swept_ms >= FORGET_INTERVAL_MS:
-                swept_ms = now_ms
-                self.shares.forget_silent(now_ms)
-                for vm in self.vm_list or ():
-                    if vm.vm_id != self.vm_id and self.links.find(vm.vm_id) is None:
-                        self.tasks.start_soon(self.links.obtain, vm)
-
     # running
 
     async def run(self) -> bool:
@@ -351,7 +286,7 @@
         await self.operator_port.async_setup(listen.operators)
         await self.links.async_setup(*read_address(listen.peers))
         await self.callers.async_setup(*read_address(listen.callers))
-        for run in (self.gaps.run, self.serving.run_ticks, self._run_news, self._watch_settings):
+        for run in (self.gaps.run, self.serving.run_ticks, self.news.run, self._watch_settings):
             self.tasks.start_soon(run)
         self.tasks.start_soon(self._source.run, self)
         _LOGGER.info(
@@ -371,7 +306,7 @@
         """Refuse new work, let calls in flight end."""
         self.entry.is_stopping = True
         self.serving.begin_stop()
-        self._spread_news()
+        self.news.spread()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
         await self.callers.async_unload()
         with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_PART):
@@ -406,11 +341,11 @@
         return {
             "vm": self.vm_id,
             "service": self.settings.vm.service,
-            "version": self._read_version(),
+            "version": self.news.version,
             "ready": self.is_ready(),
             "gate": self.serving.gate.describe(),
             "rates": self.shares.describe(now_ms),
-            "peers": self.board.describe(now_ms),
+            "peers": self.news.board.describe(now_ms),
         }
 
     def reload_settings(self) -> None:
@@ -447,14 +382,11 @@
     def _is_usable(self, vm_id: VmId) -> bool:
         if vm_id == self.vm_id:
             return not self.serving.is_leaving
-        return not self.board.is_leaving(vm_id)
+        return not self.news.board.is_leaving(vm_id)
 
     def _read_document(self) -> Document | None:
         return self.published.document if self.published is not None else None
 
-    def _read_version(self) -> int:
-        return self.published.document.version if self.published is not None else 0
-
     def _read_limits(self) -> CallerLimits:
         if self.published is None:
             return CallerLimits()
@@ -480,7 +412,7 @@
 
     def _set_gauges(self) -> None:
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
-        self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self._read_version()))
+        self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self.news.version))
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -150,7 +150,7 @@
         nodes[0].daemon.start_drain()
         assert not nodes[0].daemon.is_ready()
     assert found == [200]
-    await wait_until(lambda: nodes[1].daemon.board.is_leaving(nodes[0].daemon.vm_id))
+    await wait_until(lambda: nodes[1].daemon.news.board.is_leaving(nodes[0].daemon.vm_id))
 
 
 def test_a_key_is_kept_as_its_digest_alone() -> None:
