Name each time of the mesh; drop settings and constants that nothing reads

Cause: defaults were computed from those of another daemon, two settings and two constants were read by nothing, and fields of the document said what no decision does yet (account priority, latency target, health path): they say so now. No behaviour changed.

--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -41,7 +41,8 @@
     priority: Priority | None = attrs.field(
         default=None,
         metadata=about(
-            "Order under overload; goes before the priority of the route.", PriorityName()
+            "Order among accounts under overload; passed on, no decision uses it yet.",
+            PriorityName(),
         ),
     )
 
@@ -112,7 +113,7 @@
     health_path: str = attrs.field(
         default=const.DEFAULT_HEALTH_PATH,
         metadata=about(
-            "Path of the health endpoint; the daemon's setting when left out.",
+            "Path of the health endpoint; passed on, daemons poll the one of their settings.",
             Text(const.HEALTH_PATH_PATTERN, 'a path such as "/healthz"'),
         ),
     )
@@ -207,7 +208,8 @@
     target_ms: int = attrs.field(
         default=0,
         metadata=about(
-            "Time within which an answer has its full value to the caller, ms; 0 for no target.",
+            "Time within which an answer has its full value to the caller, ms; 0 for no target. "
+            "Passed on, no decision uses it yet.",
             IntegerRange(0, const.MAX_DEADLINE_MS),
         ),
     )
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -60,7 +60,9 @@
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
 _STOP_POLL_S = 0.02
+"""Time between two looks whether the last call has ended: short against the grace."""
 _NOT_READY_RETRY_MS = 200
+"""Advice to callers before the first configuration: a start takes about half a second."""
 _STOP_PART = 0.9
 """Part of the grace after which calls in flight are cut, so that the daemon ends by itself."""
 CHOOSER_CONFIG = ChooserConfig(local_load=0.5)
--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -13,9 +13,6 @@
 """Time after a deadline in which the serving daemon's own answer is awaited: a few trips
 between failure domains and a turn of a busy event loop."""
 
-BACKEND_MARGIN_MS = 5
-"""Time by which the serving daemon ends a call before the entry daemon gives it up."""
-
 SETTINGS_POLL_MS = 1_000
 """Time between two looks at the settings file."""
 
@@ -25,12 +22,21 @@
 DEFAULT_MAX_CONNECTIONS = 300
 """Connections to the backend server until the configuration has said it."""
 
+DEFAULT_WATCH_MS = 25_000
+"""Longest wait of one watch: under the 30 s that stores of this kind grant."""
+
+DEFAULT_STORE_TIMEOUT_MS = 1_000
+"""Longest wait for an answer of the store, which usually takes milliseconds."""
+
+DEFAULT_STORE_BACKOFF_MS = 100
+"""First pause after a failed read."""
+
+DEFAULT_STORE_BACKOFF_MAX_MS = 1_000
+"""Longest pause after failed reads: a change is to be in force within a few seconds."""
+
 DEFAULT_STOP_LIMIT_MS = 5_000
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_SLACK = 50
-DEFAULT_RETRY_WINDOW_MS = 10_000
-
-MAX_RETRIES_PER_CALL = 100
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
--- a/libs/daemon/src/wisteriaproxy/mesh/settings.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/settings.py
@@ -3,10 +3,8 @@
 import attrs
 
 from ..const import (
-    DEFAULT_BACKOFF_FIRST_MS,
     DEFAULT_HEALTH_PATH,
     DEFAULT_LOOP_GAP_MS,
-    DEFAULT_READ_TIMEOUT_MS,
     LOG_JSON,
 )
 from ..settings import BackendSettings, LogSettings, VmSettings
@@ -15,14 +13,15 @@
     DEFAULT_MAX_CONNECTIONS,
     DEFAULT_RETRY_RATIO,
     DEFAULT_RETRY_SLACK,
-    DEFAULT_RETRY_WINDOW_MS,
     DEFAULT_SLOTS,
     DEFAULT_STOP_LIMIT_MS,
+    DEFAULT_STORE_BACKOFF_MAX_MS,
+    DEFAULT_STORE_BACKOFF_MS,
+    DEFAULT_STORE_TIMEOUT_MS,
+    DEFAULT_WATCH_MS,
 )
 
 _MS_PER_S = 1_000
-_WATCH_MS = 25_000
-_BACKOFF_MAX_MS = 1_000
 _SECONDS = Rule("a number of seconds above 0", lambda value: 0 < value <= 3_600)
 _NOT_NEGATIVE = Rule("0 or more", lambda value: value >= 0)
 _RATIO = Rule("0 to 1", lambda value: 0 <= value <= 1)
@@ -78,7 +77,6 @@
     grace_s: float = setting(
         "Longest time for a planned stop.", _SECONDS, DEFAULT_STOP_LIMIT_MS / _MS_PER_S
     )
-    drain_s: float = setting("Time in which a leaving VM gets its last calls.", _SECONDS, 2.0)
     retry_ratio: float = setting(
         "Retries allowed for each call, over all daemons.", _RATIO, DEFAULT_RETRY_RATIO
     )
@@ -95,23 +93,22 @@
         _NOT_NEGATIVE,
         0.0,
     )
-    retry_window_s: float = setting(
-        "Window in which retries are counted.", _SECONDS, DEFAULT_RETRY_WINDOW_MS / _MS_PER_S
-    )
 
 
 @attrs.frozen(kw_only=True)
 class MeshTimingSettings:
     """Times, all in milliseconds."""
 
-    watch_ms: int = setting("Longest wait of one watch at the store.", TIME, _WATCH_MS)
+    watch_ms: int = setting("Longest wait of one watch at the store.", TIME, DEFAULT_WATCH_MS)
     read_timeout_ms: int = setting(
-        "Longest wait for an answer of the store.", TIME, DEFAULT_READ_TIMEOUT_MS // 5
+        "Longest wait for an answer of the store.", TIME, DEFAULT_STORE_TIMEOUT_MS
     )
     backoff_first_ms: int = setting(
-        "First pause after a failed read.", TIME, DEFAULT_BACKOFF_FIRST_MS // 2
+        "First pause after a failed read.", TIME, DEFAULT_STORE_BACKOFF_MS
+    )
+    backoff_max_ms: int = setting(
+        "Longest pause after failed reads.", TIME, DEFAULT_STORE_BACKOFF_MAX_MS
     )
-    backoff_max_ms: int = setting("Longest pause after failed reads.", TIME, _BACKOFF_MAX_MS)
     loop_gap_ms: int = setting(
         "Pause of the process after which its view counts as outdated.", TIME, DEFAULT_LOOP_GAP_MS
     )
