--- a/tests/admission/test_demand.py
+++ b/tests/admission/test_demand.py
@@ -1,5 +1,7 @@
 """Shedding by demand: the pattern is a surge on a chain whose last service is the scarce one."""
 
+import functools
+
 import pytest
 
 from wisteria_admission import HASH_RANKS, RANK_COUNT, AdmissionConfig, DemandConfig, DemandLevel
@@ -30,10 +32,13 @@
 DEMAND = AdmissionConfig(reserve_share=0.02, sheds_children=False, demand=DemandConfig())
 
 
-def play(admission: AdmissionConfig, times: float, seed: int = 1) -> GraphModel:
+@functools.lru_cache
+def play(
+    admission: AdmissionConfig, times: float, seed: int = 1, until_ms: float = SURGE_MS[1]
+) -> GraphModel:
     model = GraphModel(KINDS, SERVERS, admission, seed)
     rates = [Arrivals(name, surge(per_s, times, *SURGE_MS)) for name, per_s in USUAL_PER_S.items()]
-    model.run(rates, 24_000)
+    model.run(rates, until_ms)
     return model
 
 
@@ -58,7 +63,7 @@
 
 
 def test_the_usual_service_is_back_after_the_surge() -> None:
-    model = play(DEMAND, 2.0)
+    model = play(DEMAND, 2.0, until_ms=22_000)
     usual = sum(USUAL_PER_S.values()) * 4
     assert model.count_served(18_000, 22_000) > 0.9 * usual
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from .support import Mesh, Reply, Request, make_config, make_route, wait_until
+from .support import WAIT_S, Mesh, Reply, Request, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -183,7 +183,8 @@
     serving.upstream.answer = answer
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(mesh.call, entry, "/yields/1")
-        await began.wait()
+        with anyio.fail_after(WAIT_S):
+            await began.wait()
         tasks.cancel_scope.cancel()
     await wait_until(lambda: serving.upstream.http.cancelled == 1)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from .support import KEY, Mesh, Reply, make_config, wait_until
+from .support import KEY, WAIT_S, Mesh, Reply, make_config, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -146,7 +146,8 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(call)
-        await began.wait()
+        with anyio.fail_after(WAIT_S):
+            await began.wait()
         nodes[0].daemon.start_drain()
         assert not nodes[0].daemon.is_ready()
     assert found == [200]
