--- a/script/tools/generate_schema.py
+++ b/script/tools/generate_schema.py
@@ -15,9 +15,7 @@
 
 def main() -> None:
     """Print the schema."""
-    from wisteriaproxy.control import own_kinds  # noqa: F401
     from wisteriaproxy.control.schema import write_schema
-    from wisteriaproxy.mesh import messages  # noqa: F401
 
     sys.stdout.write(write_schema())
 
