Observe a stopping daemon while it stops

Trace: the call was answered 200, the wait for the state timed out. The call is held now until the peer knows: the same assertions, and 'leaving' must be known while calls run.

--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -453,7 +453,7 @@
 [store]
 address = "{self._host(1)}:{STORE}"
 [bounds]
-grace_s = 2
+grace_s = 6
 strict_revocation = {str(strict_revocation).lower()}
 [timing]
 read_timeout_ms = 300
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from .support import KEY, WAIT_S, Mesh, Reply, Request, make_config, wait_until
+from .support import KEY, WAIT_S, Mesh, Reply, Request, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -147,13 +147,13 @@
 
 
 async def test_a_stopping_daemon_is_not_ready_and_finishes_its_calls(mesh: Mesh) -> None:
-    mesh.publish(make_config())
+    mesh.publish(make_config(routes=[make_route("y", "/yields/", "idempotent") | {"timeout_s": 9}]))
     nodes = await mesh.add_ready(2)
-    began = anyio.Event()
+    began, known = anyio.Event(), anyio.Event()
 
     async def answer(_request: object) -> Reply | None:
         began.set()
-        await anyio.sleep(0.2)
+        await known.wait()
         return None
 
     for node in nodes:
@@ -161,7 +161,7 @@
     found: list[int] = []
 
     async def call() -> None:
-        found.append((await mesh.call(nodes[0], "/yields/1")).status)
+        found.append((await mesh.call(nodes[0], "/yields/1", timeout_ms=9_000)).status)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(call)
@@ -169,8 +169,10 @@
             await began.wait()
         nodes[0].daemon.start_drain()
         assert not nodes[0].daemon.is_ready()
+        # a peer knows while the daemon stops, and forgets it with the link
+        await wait_until(lambda: nodes[1].daemon.news.board.is_leaving(nodes[0].daemon.vm_id))
+        known.set()
     assert found == [200]
-    await wait_until(lambda: nodes[1].daemon.news.board.is_leaving(nodes[0].daemon.vm_id))
 
 
 def test_a_key_is_kept_as_its_digest_alone() -> None:
