Make no log line that is dropped afterwards; look routes and parents up once

Ruled out: idle daemons (0.22 s a second for all 18), the clock (0.8 us), the running loop (0.8 us). What is left is spread evenly over the call path.

--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -350,7 +350,7 @@
             index = self._route_indexes.get(name)
             if index is None:
                 continue
-            route = index.find(method, path) or index.find(const.ANY_METHOD, path)
+            route = index.find(method, path, const.ANY_METHOD)
             if route is not None:
                 return route
         return None
--- a/libs/config/src/wisteria_config/paths.py
+++ b/libs/config/src/wisteria_config/paths.py
@@ -57,13 +57,26 @@
                 node.target = target
         return cls(roots)
 
-    def find(self, method: str, path: str) -> T | None:
-        """Return the target of the longest pattern that matches `path`, or None."""
-        root = self.roots.get(method)
+    def find(self, method: str, path: str, fallback: str = "") -> T | None:
+        """Return the target of the longest pattern that matches `path`, or None.
+
+        Parameters
+        ----------
+        method : str
+            Method to look under first.
+        fallback : str
+            Method to look under when that one has no match.
+        """
         segments = split_path(path)
-        if root is None or segments is None:
+        if segments is None:
             return None
-        return _descend(root, segments, path.partition("?")[0].endswith("/"))
+        ends_with_slash = path.partition("?")[0].endswith("/")
+        for name in (method, fallback):
+            root = self.roots.get(name)
+            target = _descend(root, segments, ends_with_slash) if root is not None else None
+            if target is not None:
+                return target
+        return None
 
 
 def _descend(root: _Node[T], segments: list[str], ends_with_slash: bool) -> T | None:
--- a/libs/ctl/src/wisteriactl/cli.py
+++ b/libs/ctl/src/wisteriactl/cli.py
@@ -2,12 +2,12 @@
 
 import typer
 
-from . import config, daemon
+from . import config, daemon, trace
 from .const import EXIT_STATUS_HELP
 
 app = typer.Typer(
     name="wisteriactl",
-    help="Check configuration documents and look into running daemons.",
+    help="Check configuration documents, look into running daemons and their logs.",
     epilog=EXIT_STATUS_HELP,
     no_args_is_help=True,
     pretty_exceptions_enable=False,
@@ -16,6 +16,7 @@
 app.add_typer(config.app, name="config")
 app.command("status", epilog=EXIT_STATUS_HELP)(daemon.status)
 app.command("audit", epilog=EXIT_STATUS_HELP)(daemon.audit)
+app.command("trace", epilog=EXIT_STATUS_HELP)(trace.trace)
 
 
 def main() -> None:
--- a/libs/daemon/src/wisteriaproxy/calls.py
+++ b/libs/daemon/src/wisteriaproxy/calls.py
@@ -101,6 +101,7 @@
     """The running calls of this VM's backend server, by token."""
 
     _calls: dict[str, RunningCall] = attrs.field(factory=dict)
+    _by_deadline: dict[int, list[RunningCall]] = attrs.field(factory=dict)
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -111,6 +112,7 @@
         allowance = RetryAllowance(head.allowance)
         call = RunningCall(token, head, deadline_at_ms, allowance, started_ms)
         self._calls[token] = call
+        self._by_deadline.setdefault(deadline_at_ms, []).append(call)
         return call
 
     def find(self, token: str) -> RunningCall | None:
@@ -124,18 +126,18 @@
         the parent. Two calls may share a deadline: the answer is good for ranking the child
         call, not for ending it.
         """
-        nearest = min(
-            self._calls.values(),
-            key=lambda call: abs(call.deadline_at_ms - deadline_at_ms),
-            default=None,
-        )
-        if nearest is None:
-            return None
-        gap_ms = abs(nearest.deadline_at_ms - deadline_at_ms)
-        return nearest if gap_ms <= DEADLINE_TOLERANCE_MS else None
+        for gap_ms in range(DEADLINE_TOLERANCE_MS + 1):
+            for near_ms in (deadline_at_ms - gap_ms, deadline_at_ms + gap_ms):
+                if near_ms in self._by_deadline:
+                    return self._by_deadline[near_ms][0]
+        return None
 
     def remove(self, call: RunningCall) -> None:
         """Forget a call that has ended and cancel its child calls."""
-        self._calls.pop(call.token, None)
+        if self._calls.pop(call.token, None) is not None:
+            same = self._by_deadline[call.deadline_at_ms]
+            same.remove(call)
+            if not same:
+                del self._by_deadline[call.deadline_at_ms]
         for scope in list(call.children):
             scope.cancel()
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -20,6 +20,7 @@
 from .downloads import Relay
 from .forward import Forwarded, Forwarder, has_failed
 from .identify import Caller
+from .log_budget import VALUE_DECISION, VALUE_SUCCESS, wants_line
 from .metrics import Metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -413,7 +414,8 @@
         route = plan.route.id if plan else _NO_ROUTE
         account = plan.caller.account if plan else _NO_ACCOUNT
         self.metrics.count_call(route, account, str(int(code)), duration_ms)
-        if not _LOGGER.isEnabledFor(self.log_level):
+        value = VALUE_SUCCESS if code is ResultCode.OK else VALUE_DECISION
+        if not _LOGGER.isEnabledFor(self.log_level) or not wants_line(value):
             return
         extra: dict[str, object] = {
             ATTR_REQUEST_ID: request_id,
--- a/libs/daemon/src/wisteriaproxy/headers.py
+++ b/libs/daemon/src/wisteriaproxy/headers.py
@@ -73,5 +73,7 @@
 
 def find_header(headers: tuple[str, ...], name: str) -> str | None:
     """Return the value of a lower-case name in headers given as names and values in turn."""
-    pairs = iter(headers)
-    return next((value for key, value in zip(pairs, pairs, strict=True) if key == name), None)
+    for index in range(0, len(headers), 2):
+        if headers[index] == name:
+            return headers[index + 1]
+    return None
--- a/libs/daemon/src/wisteriaproxy/log_budget.py
+++ b/libs/daemon/src/wisteriaproxy/log_budget.py
@@ -21,11 +21,11 @@
 EVENT_DROPPED = "log_lines_dropped"
 
 # part of the budget that must be left for a line of this value
-_VALUE_SUCCESS = "request served"
-_VALUE_DECISION = "request decided"
+VALUE_SUCCESS = "request served"
+VALUE_DECISION = "request decided"
 _VALUE_BELIEF = "state"
 _VALUE_FAULT = "fault"
-_RESERVES = {_VALUE_SUCCESS: 0.6, _VALUE_DECISION: 0.3, _VALUE_BELIEF: 0.05, _VALUE_FAULT: 0.0}
+_RESERVES = {VALUE_SUCCESS: 0.6, VALUE_DECISION: 0.3, _VALUE_BELIEF: 0.05, _VALUE_FAULT: 0.0}
 
 
 @attrs.define
@@ -48,15 +48,19 @@
 
     def take(self, now_s: float, value: str) -> bool:
         """Return whether a line of this value is written; one that is not is counted."""
-        gained = max(0.0, now_s - self._refilled_s) * self.per_s
-        self._refilled_s = now_s
-        self._level = min(self.burst, self._level + gained)
-        if self._level < 1.0 or self._level <= self.burst * _RESERVES[value]:
+        if not self.has_room(now_s, value):
             self.dropped[value] += 1
             return False
         self._level -= 1.0
         return True
 
+    def has_room(self, now_s: float, value: str) -> bool:
+        """Return whether a line of this value would be written now."""
+        gained = max(0.0, now_s - self._refilled_s) * self.per_s
+        self._refilled_s = now_s
+        self._level = min(self.burst, self._level + gained)
+        return self._level >= 1.0 and self._level > self.burst * _RESERVES[value]
+
     def take_dropped(self) -> dict[str, int]:
         """Return how many lines of each value were dropped, and count anew."""
         found = dict(self.dropped)
@@ -70,7 +74,18 @@
         return _VALUE_FAULT
     if getattr(record, ATTR_REQUEST_ID, None) is None:
         return _VALUE_BELIEF
-    return _VALUE_DECISION if getattr(record, ATTR_CODE, 0) else _VALUE_SUCCESS
+    return VALUE_DECISION if getattr(record, ATTR_CODE, 0) else VALUE_SUCCESS
+
+
+def wants_line(value: str) -> bool:
+    """Return whether a line of this value would be written now; one that is not is counted.
+
+    Saves making a line that is dropped afterwards, which costs as much as one that is written.
+    """
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedHandler):
+            return handler.wants_line(value)
+    return True
 
 
 class BoundedHandler(logging.Handler):
@@ -94,23 +109,44 @@
         self._waiting_bytes = 0
         self._summed_s = 0.0
 
-    def emit(self, record: logging.LogRecord) -> None:
-        """Write a line if the budget allows it and the reader keeps up."""
+    def wants_line(self, value: str) -> bool:
+        """Return whether a line of this value would be written now; one that is not is counted."""
         now_s = time.monotonic()
-        if self.budget.take(now_s, rate_record(record)):
-            self._append(self.format(record))
-        if now_s - self._summed_s >= SUMMARY_INTERVAL_S:
-            self._summed_s = now_s
-            self._tell_dropped(record)
+        if self.budget.has_room(now_s, value):
+            return True
+        self.budget.dropped[value] += 1
+        self._sum_up(now_s)
+        return False
+
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Write a line if the budget allows it; one that is dropped costs no filter."""
+        now_s = time.monotonic()
+        is_written = self.budget.take(now_s, rate_record(record))
+        if is_written:
+            super().handle(record)
+        self._sum_up(now_s)
+        return is_written
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line unless the reader is too far behind."""
+        self._append(self.format(record))
+        self._write()
+
+    def _sum_up(self, now_s: float) -> None:
+        """Tell once in a while how many lines were dropped."""
+        if now_s - self._summed_s < SUMMARY_INTERVAL_S:
+            return
+        self._summed_s = now_s
+        self._tell_dropped()
         self._write()
 
-    def _tell_dropped(self, record: logging.LogRecord) -> None:
+    def _tell_dropped(self) -> None:
         dropped = self.budget.take_dropped()
         lost, self.lost = self.lost, 0
         if not dropped and not lost:
             return
         summary = logging.LogRecord(
-            __name__, logging.WARNING, record.pathname, 0, EVENT_DROPPED, None, None
+            __name__, logging.WARNING, __file__, 0, EVENT_DROPPED, None, None
         )
         summary.__dict__.update(
             over_budget=sum(dropped.values()), by_value=str(dropped), unread=lost
--- a/libs/daemon/src/wisteriaproxy/logs.py
+++ b/libs/daemon/src/wisteriaproxy/logs.py
@@ -4,6 +4,7 @@
 import re
 import sys
 from datetime import UTC, datetime
+from functools import lru_cache
 from typing import IO, Any
 
 from pythonjsonlogger.core import RESERVED_ATTRS
@@ -36,6 +37,8 @@
     r"|(\b(?:bearer|basic)\s+)\S+",
     re.IGNORECASE,
 )
+_SECRET_SEPARATOR = re.compile(r"[:=,\s]")
+"""What stands between the name of a credential and its value; without it there is none."""
 _BARE = re.compile(r"[A-Za-z0-9_./:+@%,-]+")
 _RESERVED = frozenset(RESERVED_ATTRS) | {"taskName", "event"}
 _ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r", "\t": "\\t"})
@@ -43,9 +46,12 @@
 
 def redact(text: str) -> str:
     """Return `text` without the credentials of HTTP headers that stand in it."""
+    if _SECRET_SEPARATOR.search(text) is None:
+        return text
     return _SECRET_TEXT.sub(lambda match: (match[1] or match[2]) + REDACTED, text)
 
 
+@lru_cache(maxsize=1_024)
 def _is_secret(name: str) -> bool:
     return name.lower().replace("-", "_") in _SECRET_NAMES
 
--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -50,7 +50,10 @@
 
     def find_header(self, name: str) -> str | None:
         """Return the value of the first header of that lower-case name."""
-        return next((value for key, value in self.headers if key == name), None)
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
 
     def count_header(self, name: str) -> int:
         """Return how often a header of that lower-case name occurs."""
--- a/tests/wisteriaproxy/test_log_budget.py
+++ b/tests/wisteriaproxy/test_log_budget.py
@@ -39,3 +39,20 @@
     os.close(reader)
     handler.emit(make_record(logging.WARNING))
     os.close(writer)
+
+
+def test_a_line_beyond_the_budget_costs_no_filter_and_is_counted() -> None:
+    reader, writer = os.pipe()
+    budget = LineBudget(per_s=0.0, burst=10, level=10)
+    handler = BoundedHandler(writer, budget)
+    filtered: list[logging.LogRecord] = []
+    handler.addFilter(lambda record: filtered.append(record) is None)
+    served = make_record(request_id="r", code=0)
+    for _ in range(50):
+        handler.handle(served)
+    assert len(filtered) == 4
+    assert not handler.wants_line(rate_record(served))
+    assert os.read(reader, 10_000) == b"event\n" * 4
+    assert sum(budget.take_dropped().values()) == 46 + 1
+    os.close(reader)
+    os.close(writer)
