Bring callers over their rate back in time; choose servers by speed; rates before shedding

Route-status at a slow server nearby ends near its route's time-out. Backend servers close idle connections, so that each burst opened them again. Changes: Retry-After of a rate is bounded by half of the route's target latency; the account's priority goes before the route's; rates are checked before shedding; speed of servers is compared kind by kind; the pool uses the connection idle for longest first; bodies up to 64 MiB on links.

--- a/libs/admission/src/wisteria_admission/__init__.py
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -18,6 +18,7 @@
     Verdict,
 )
 from .rank import shed_rank
+from .returns import advise_return
 
 __all__ = [
     "HASH_RANKS",
@@ -42,5 +43,6 @@
     "Refuse",
     "Ticket",
     "Verdict",
+    "advise_return",
     "shed_rank",
 ]
--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -41,7 +41,7 @@
     priority: Priority | None = attrs.field(
         default=None,
         metadata=about(
-            "Order among accounts under overload; passed on, no decision uses it yet.",
+            "Order among accounts under overload; it goes before the priority of the route.",
             PriorityName(),
         ),
     )
@@ -209,7 +209,7 @@
         default=0,
         metadata=about(
             "Time within which an answer has its full value to the caller, ms; 0 for no target. "
-            "Passed on, no decision uses it yet.",
+            "Callers beyond their rate are asked back within half of it.",
             IntegerRange(0, const.MAX_DEADLINE_MS),
         ),
     )
@@ -287,6 +287,13 @@
         )
         return accounts
 
+    @functools.cached_property
+    def _account_places(self) -> dict[Priority | None, int]:
+        """Places of the accounts' priorities in their order; none at all comes last."""
+        stated = {account.priority for account in self.accounts}
+        ordered = sorted(stated, key=lambda one: len(Priority) if one is None else int(one))
+        return {priority: place for place, priority in enumerate(ordered)}
+
     @functools.cached_property
     def _keys_by_digest(self) -> dict[str, KeyRecord]:
         return {key.sha256: key for key in self.keys}
@@ -309,6 +316,21 @@
         """Return the client account of that name; ``public`` is the one of open routes."""
         return self._accounts_by_name.get(name)
 
+    def rank_priority(self, account: str, route: Route) -> Priority:
+        """Return the priority of a call of an account to a route.
+
+        The account goes first where the accounts of the document differ: calls of its more
+        important accounts come before all others, and among the calls of accounts that are
+        alike only the urgent routes stand out.
+        """
+        places = self._account_places
+        if len(places) < 2:
+            return route.priority
+        found = self._accounts_by_name.get(account)
+        lowest = len(Priority) // 2 - 1
+        place = lowest if found is None else min(places.get(found.priority, lowest), lowest)
+        return Priority(2 * place + int(route.priority is not Priority.URGENT))
+
     def find_service(self, name: str) -> Service | None:
         """Return the service of that name."""
         return self._services_by_name.get(name)
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from wisteria_admission import HASH_RANKS, ChainLevels, shed_rank
+from wisteria_admission import HASH_RANKS, ChainLevels, advise_return, shed_rank
 from wisteria_config import Document, Route
-from wisteria_core import Clock, Refusal, ResultCode, RunState
+from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
 from wisteria_limits import Admitted
 from wisteria_routing import RetryAllowance, TrafficSplitter
 from wisteria_wire import AnswerHead, CallHead, CallScope, HttpRequest
@@ -64,6 +64,8 @@
     ----------
     service : str
         Service that answers: the route's, or the one drawn from its split.
+    priority : Priority
+        Of the request: the account's before the route's.
     trace : dict
         What was decided on the way and why, for the log.
     """
@@ -76,6 +78,7 @@
     deadline_at_ms: int
     idempotency_key: str
     document: Document
+    priority: Priority
     scope: CallScope = attrs.field(factory=CallScope)
     trace: dict[str, object] = attrs.field(factory=dict)
 
@@ -220,7 +223,10 @@
         service = (
             self.splitter.choose(route.id, _list_parts(route)) if route.split else route.service
         )
-        return Plan(request, request_id, route, service, caller, deadline_at_ms, key, document)
+        priority = document.rank_priority(caller.account, route)
+        return Plan(
+            request, request_id, route, service, caller, deadline_at_ms, key, document, priority
+        )
 
     def _read_deadline(
         self, now_ms: int, request: HttpRequest, route: Route, caller: Caller
@@ -257,9 +263,13 @@
             return await self._run(
                 plan, allowance, head.rank, head.represented, span=head.rank_span
             )
-        now_ms = self.clock.now_ms()
         account = plan.caller.account
-        priority = plan.route.priority
+        priority = plan.priority
+        # calls beyond a rate are no demand that the services must carry
+        admitted = await self.rates.admit(account)
+        if isinstance(admitted, Refusal):
+            return self._refuse_rate(plan, admitted)
+        now_ms = self.clock.now_ms()
         excess_milli = self.levels.excess_milli(now_ms, account, priority, plan.route.id)
         span = self.levels.rank_span(now_ms, plan.route.id)
         rank = shed_rank(priority, excess_milli, plan.request_id, span)
@@ -267,17 +277,24 @@
         if refusal is not None:
             threshold = self.levels.threshold(now_ms, plan.route.id)
             plan.trace.update(rank=rank, threshold=threshold, reason=refusal.reason)
+            self.rates.refund(admitted)
             return self._answer_refusal(plan.request, plan.request_id, refusal)
-        admitted = await self.rates.admit(account)
-        if isinstance(admitted, Refusal):
-            plan.trace.update(reason=admitted.reason, retry_after_ms=admitted.retry_after_ms)
-            return self._answer_refusal(plan.request, plan.request_id, admitted)
         represented = self.levels.take_represented(
             self.clock.now_ms(), plan.route.id, account, priority
         )
         allowance = RetryAllowance(plan.route.retry_allowance)
         return await self._run(plan, allowance, rank, represented, admitted, span)
 
+    def _refuse_rate(self, plan: Plan, refusal: Refusal) -> ResultCode:
+        """Answer a call whose account is beyond its rate."""
+        if refusal.retry_after_ms is not None:
+            return_ms = advise_return(
+                refusal.retry_after_ms, plan.route.target_ms, plan.request_id
+            )
+            refusal = attrs.evolve(refusal, retry_after_ms=return_ms)
+        plan.trace.update(reason=refusal.reason, retry_after_ms=refusal.retry_after_ms)
+        return self._answer_refusal(plan.request, plan.request_id, refusal)
+
     async def _run(
         self,
         plan: Plan,
@@ -326,7 +343,7 @@
             account=likely.account if likely else caller.account,
             key_id=caller.key_id,
             key_digest=caller.key_digest,
-            priority=min(likely.priority, route.priority) if likely else route.priority,
+            priority=min(likely.priority, route.priority) if likely else plan.priority,
             rank=rank,
             remaining_ms=plan.deadline_at_ms - self.clock.now_ms(),
             allowance=0,
@@ -348,7 +365,7 @@
             return
         now_ms = self.clock.now_ms()
         self.levels.note_answer(
-            now_ms, plan.route.id, plan.caller.account, plan.route.priority, head.levels
+            now_ms, plan.route.id, plan.caller.account, plan.priority, head.levels
         )
         parent = plan.caller.parent or plan.caller.likely_parent
         if parent is not None:
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -232,7 +232,8 @@
             return Forwarded(answer, reply, vm_id, self.retries)
         finally:
             now_ms = clock.now_ms()
-            self.chooser.note_answer(now_ms, vm_id, outcome, now_ms - sent_at_ms, load)
+            latency_ms = now_ms - sent_at_ms
+            self.chooser.note_answer(now_ms, vm_id, outcome, latency_ms, load, head.route_id)
             if outcome is CallOutcome.CANCELLED and reply is not None:
                 self.allowance.write_off(self._loan_id)
                 if not isinstance(reply, Refusal):
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -65,8 +65,9 @@
 """Advice to callers before the first configuration: a start takes about half a second."""
 _STOP_PART = 0.9
 """Part of the grace after which calls in flight are cut, so that the daemon ends by itself."""
-CHOOSER_CONFIG = ChooserConfig(local_load=0.5)
-"""The own failure domain goes first up to half load, where no server queues yet."""
+CHOOSER_CONFIG = ChooserConfig(local_load=0.5, explore_share=0.01)
+"""The own failure domain goes first up to half load, where no server queues yet. What leaves it to
+compare speeds is kept small, as bytes between failure domains have a price."""
 ADMISSION_CONFIG = AdmissionConfig(reserve_share=0.02, sheds_children=False, demand=DemandConfig())
 """A slot or two stay free for urgent calls; calls of admitted work run unless it is hopeless."""
 OVERAGE_PART = 0.7
--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -14,6 +14,10 @@
 NO_SERVER_RETRY_AFTER_MS = 500
 FORGIVE_OUTCOMES = 100
 USUAL_REFRESH_MS = 20
+LATENCY_SMOOTHING = 0.02
+"""Weight of one answer in the usual latency of its kind, over all servers."""
+MAX_KINDS = 1_000
+"""Kinds of calls whose latency is known; those beyond count as usual."""
 
 
 @attrs.define
@@ -37,6 +41,7 @@
     _usual: Usual | None = attrs.field(init=False, default=None)
     _usual_at_ms: int = attrs.field(init=False, default=0)
     _seen_candidates: bool = attrs.field(init=False, default=False)
+    _latencies: dict[str, float] = attrs.field(init=False, factory=dict)
 
     def update(self, now_ms: int, candidates: Iterable[Candidate]) -> None:
         """Replace the candidates; evidence on those that stay is kept.
@@ -98,6 +103,7 @@
         outcome: CallOutcome,
         latency_ms: int,
         load: ServerLoad | None = None,
+        kind: str = "",
     ) -> None:
         """Take in the end of a call that was counted by `note_sent`.
 
@@ -113,6 +119,8 @@
             Time since it was sent, in milliseconds.
         load : ServerLoad, optional
             Load that came with the answer.
+        kind : str
+            Calls of one kind take about as long at servers of one speed.
         """
         server = self._servers.get(vm_id)
         if server is None:
@@ -120,7 +128,8 @@
         server.in_flight = max(0, server.in_flight - 1)
         if load is not None:
             server.note_load(now_ms, load)
-        server.note_outcome(now_ms, outcome, latency_ms, self.config)
+        slowness = self._compare_latency(kind, outcome, latency_ms)
+        server.note_outcome(now_ms, outcome, slowness, self.config)
         if server.ejected_until_ms is not None:
             self._judge_probe(now_ms, server, outcome)
         elif self._should_eject(now_ms, server):
@@ -145,7 +154,7 @@
                 "in_flight": server.in_flight,
                 "load": round(server.load(now_ms, usual, self.config), 3),
                 "error_rate": round(server.error_rate(now_ms, self.config), 3),
-                "latency_ms": round(server.latency_ms, 1),
+                "slowness": round(server.slowness_at(now_ms, self.config), 2),
             }
             for server in self._servers.values()
         ]
@@ -161,15 +170,35 @@
         local = [s for s in servers if s.candidate.failure_domain == self.failure_domain]
         usual = self._find_usual(now_ms)
         best = self._best_of(now_ms, local, usual)
-        if best is not None and best.load(now_ms, usual, self.config) <= self.config.local_load:
-            return best
         remote = [s for s in servers if s.candidate.failure_domain != self.failure_domain]
+        if best is not None and self._is_good_enough(now_ms, best, usual):
+            explores = remote and self.random.random() < self.config.explore_share
+            return self.random.choice(remote) if explores else best
         other = self._best_of(now_ms, remote, usual)
         if best is None or other is None:
             return best or other
         other_score = other.score(now_ms, usual, self.config) * self.config.remote_penalty
         return other if other_score < best.score(now_ms, usual, self.config) else best
 
+    def _is_good_enough(self, now_ms: int, server: Server, usual: Usual) -> bool:
+        """Return whether a server of the own failure domain is taken without a look further."""
+        config = self.config
+        if server.slowness_at(now_ms, config) > config.local_slowness * usual.fastest:
+            return False
+        return server.load(now_ms, usual, config) <= config.local_load
+
+    def _compare_latency(self, kind: str, outcome: CallOutcome, latency_ms: int) -> float:
+        """Return a latency against the usual one of its kind, which takes it in."""
+        usual_ms = self._latencies.get(kind)
+        if outcome not in (CallOutcome.SUCCESS, CallOutcome.TIMEOUT):
+            return 1.0
+        if usual_ms is None:
+            if len(self._latencies) < MAX_KINDS:
+                self._latencies[kind] = max(1.0, float(latency_ms))
+            return 1.0
+        self._latencies[kind] = max(1.0, usual_ms + LATENCY_SMOOTHING * (latency_ms - usual_ms))
+        return latency_ms / usual_ms
+
     def _best_of(self, now_ms: int, servers: list[Server], usual: Usual) -> Server | None:
         """Return the best of a few sampled servers; a starting one is sampled less often."""
         config = self.config
@@ -194,12 +223,12 @@
         heard = [s.heard_load(now_ms, self.config) for s in servers]
         loads = [load for load in heard if load is not None]
         limits = [limit for s in servers if (limit := s.stated_limit()) is not None]
-        latencies = [s.latency_ms for s in servers if s.latency_ms]
+        usable = [s for s in servers if s.candidate.usable and s.ejected_until_ms is None]
         default = Usual()
         return Usual(
             min(default.load, _median(loads, default.load)),
             int(_median(limits, default.capacity)),
-            _median(latencies, default.latency_ms),
+            min((s.slowness_at(now_ms, self.config) for s in usable), default=default.fastest),
         )
 
     def _should_eject(self, now_ms: int, server: Server) -> bool:
--- a/libs/routing/src/wisteria_routing/config.py
+++ b/libs/routing/src/wisteria_routing/config.py
@@ -21,8 +21,16 @@
         Time in which a new or returning backend server reaches its full part.
     local_load : float
         Load up to which only the own failure domain is considered.
+    local_slowness : float
+        Slowness against the fastest candidate up to which only the own failure domain is
+        considered.
+    explore_share : float
+        Part of the calls that leaves the own failure domain although its servers are good
+        enough, so that faster ones elsewhere become known.
     remote_penalty : float
         Factor on the score of other failure domains.
+    slowness_half_life_ms : int
+        Time without answers in which a backend server's slowness halves its gap to the usual.
     connect_penalty : float
         Load that a connection yet to be opened counts for.
     max_in_flight : int
@@ -47,7 +55,10 @@
     report_weight: float = 0.25
     slow_start_ms: int = 5_000
     local_load: float = 0.8
+    local_slowness: float = 2.5
+    explore_share: float = 0.0
     remote_penalty: float = 1.25
+    slowness_half_life_ms: int = 10_000
     connect_penalty: float = 0.05
     max_in_flight: int = 200
     error_smoothing: float = 0.1
--- a/libs/routing/src/wisteria_routing/servers.py
+++ b/libs/routing/src/wisteria_routing/servers.py
@@ -16,10 +16,14 @@
 }
 PRIOR_WEIGHT = 0.25
 UNHEALTHY_LOAD = 2.0
-LATENCY_SMOOTHING = 0.1
+SLOWNESS_SMOOTHING = 0.05
+"""Weight of one answer: run times of a kind differ severalfold."""
+FIRST_ANSWERS = 4
+"""Answers that the assumption of a usual speed is worth."""
 ERROR_PENALTY = 20.0
 NEGLIGIBLE_ERROR_RATE = 0.01
-MAX_LATENCY_FACTOR = 4.0
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 4.0
 MIN_START_PART = 0.1
 
 
@@ -32,7 +36,7 @@
 
     load: float = 0.5
     capacity: int = CAPACITY_UNKNOWN
-    latency_ms: float = 0.0
+    fastest: float = 1.0
 
 
 @attrs.define
@@ -45,6 +49,8 @@
         Its latest description.
     started_ms : int
         When it was added or returned from an ejection: start of its slow start.
+    slowness : float
+        Latency of its answers against the usual one of the same kind of call, smoothed.
     """
 
     candidate: Candidate
@@ -52,7 +58,9 @@
     in_flight: int = 0
     _error_rate: float = 0.0
     _error_noted_ms: int = 0
-    latency_ms: float = 0.0
+    slowness: float = 1.0
+    _slowness_noted_ms: int = 0
+    _slowness_answers: int = 0
     outcomes: int = 0
     ejections: int = 0
     ejected_until_ms: int | None = None
@@ -82,9 +90,15 @@
         return rate if rate >= NEGLIGIBLE_ERROR_RATE else 0.0
 
     def note_outcome(
-        self, now_ms: int, outcome: CallOutcome, latency_ms: int, config: ChooserConfig
+        self, now_ms: int, outcome: CallOutcome, slowness: float, config: ChooserConfig
     ) -> None:
-        """Take in how an attempt ended; refusals and cancellations say nothing of health."""
+        """Take in how an attempt ended; refusals and cancellations say nothing of health.
+
+        Parameters
+        ----------
+        slowness : float
+            Its latency against the usual one of its kind.
+        """
         weight = _ERROR_WEIGHT.get(outcome)
         if weight is None:
             return
@@ -93,8 +107,16 @@
         self._error_rate = rate + config.error_smoothing * (weight - rate)
         self._error_noted_ms = now_ms
         if outcome in (CallOutcome.SUCCESS, CallOutcome.TIMEOUT):
-            gap_ms = latency_ms - self.latency_ms if self.latency_ms else latency_ms
-            self.latency_ms += gap_ms * (LATENCY_SMOOTHING if self.latency_ms else 1.0)
+            known = self.slowness_at(now_ms, config)
+            self._slowness_answers += 1
+            weight = max(SLOWNESS_SMOOTHING, 1.0 / (FIRST_ANSWERS + self._slowness_answers))
+            self.slowness = known + weight * (slowness - known)
+            self._slowness_noted_ms = now_ms
+
+    def slowness_at(self, now_ms: int, config: ChooserConfig) -> float:
+        """Return the slowness; it fades, so that a server that was slow is tried again."""
+        fade = _fade(now_ms - self._slowness_noted_ms, config.slowness_half_life_ms)
+        return 1.0 + (self.slowness - 1.0) * fade
 
     def capacity(self, usual: Usual) -> int:
         """Return the concurrency limit last heard."""
@@ -133,7 +155,8 @@
         if not self.candidate.connected:
             load += config.connect_penalty
         errors = 1.0 + ERROR_PENALTY * self.error_rate(now_ms, config)
-        return load * self._latency_factor(usual.latency_ms) * errors
+        slowness = min(MAX_SLOWNESS, max(MIN_SLOWNESS, self.slowness_at(now_ms, config)))
+        return load * slowness * errors
 
     def start_part(self, now_ms: int, config: ChooserConfig) -> float:
         """Return the part of its full share that a starting backend server gets."""
@@ -159,11 +182,6 @@
         until_ms = self.ejected_until_ms
         return until_ms is not None and now_ms >= until_ms and self.in_flight == 0
 
-    def _latency_factor(self, usual_latency_ms: float) -> float:
-        if not self.latency_ms or not usual_latency_ms:
-            return 1.0
-        return min(MAX_LATENCY_FACTOR, max(0.5, self.latency_ms / usual_latency_ms))
-
 
 def _fade(age_ms: int, half_life_ms: int) -> float:
     """Return the weight left after `age_ms`."""
--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -3,7 +3,8 @@
 PROTOCOL_VERSION = 1
 
 FRAME_HEADER_BYTES = 14
-MAX_FRAME_BYTES = 4_000_000
+MAX_FRAME_BYTES = 68_000_000
+"""Longest payload: a call with the longest body that a configuration may allow, 64 MiB."""
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
 CREDIT_THRESHOLD_BYTES = 65_536
--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -103,12 +103,17 @@
         self._is_complete = False
         self._was_closed_by_peer = False
         self.idle_limit_ms = DEFAULT_IDLE_CONNECTION_MS
+        self.fresh_limit_ms = FRESH_CONNECTION_MS
 
     @property
     def is_usable(self) -> bool:
         """Whether another request may be sent."""
         return not self._lost and self._transport is not None and not self._transport.is_closing()
 
+    def is_alive(self, now_ms: int) -> bool:
+        """Return whether an idle connection can be expected to be open at the other end."""
+        return self.is_usable and now_ms - self.idle_since_ms <= self.idle_limit_ms
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take note of the connection."""
         # uvloop's TLS transport is no subclass of asyncio.Transport
@@ -236,6 +241,7 @@
         if stated is not None:
             limit_ms = max(0, int(stated[1]) * _MS_PER_S - KEEP_ALIVE_MARGIN_MS)
             self.idle_limit_ms = min(DEFAULT_IDLE_CONNECTION_MS, limit_ms)
+            self.fresh_limit_ms = self.idle_limit_ms
 
     def _resume(self, count: int) -> None:
         self._buffered -= count
@@ -292,8 +298,9 @@
         Parameters
         ----------
         fresh : bool
-            Use no connection that has stood idle for long: the backend server may be
-            closing it, which would leave the outcome unknown.
+            Use no connection that the backend server may be closing, which would leave the
+            outcome unknown: one that has stood idle for long, unless it stated how long it
+            keeps it open.
         """
         try:
             self._places.acquire_nowait()
@@ -339,15 +346,21 @@
             self._places.release()
 
     def _take_idle(self, fresh: bool) -> HttpClientConnection | None:
+        """Return a connection that can be used, None when there is none.
+
+        The one that has stood idle for longest goes first, so that none is closed for being
+        idle while the pool is in use: a later burst would have to open it again.
+        """
         now_ms = self._clock.now_ms()
-        while self._idle:
-            connection = self._idle.pop()
-            limit_ms = connection.idle_limit_ms
-            if fresh:
-                limit_ms = min(limit_ms, FRESH_CONNECTION_MS)
-            if connection.is_usable and now_ms - connection.idle_since_ms <= limit_ms:
-                return connection
-            connection.close()
+        while self._idle and not self._idle[0].is_alive(now_ms):
+            self._idle.popleft().close()
+        if not self._idle:
+            return None
+        if not fresh:
+            return self._idle.popleft()
+        newest = self._idle[-1]
+        if newest.is_usable and now_ms - newest.idle_since_ms <= newest.fresh_limit_ms:
+            return self._idle.pop()
         return None
 
     async def _connect(self) -> HttpClientConnection | None:
--- a/tests/admission/graph_model.py
+++ b/script/tools/graph_model.py
@@ -15,6 +15,7 @@
     ChainLevels,
     Dispatch,
     FixedLimiter,
+    Outcome,
     Queued,
     Refuse,
     Ticket,
@@ -25,6 +26,9 @@
 TICK_MS = 20
 WAY_MS = 1
 HASTY_MS = 20
+HASTY_RETRIES = 3
+COLD_MS = 3_000
+COLD_SLOWNESS = 2.0
 
 
 @attrs.frozen
@@ -39,6 +43,8 @@
         Kinds that it calls one after the other, and how often.
     time_out_ms : int
         Time that a root request has.
+    together : bool
+        Whether its calls are made all at once.
     """
 
     name: str
@@ -47,31 +53,84 @@
     calls: tuple[tuple[str, int], ...] = ()
     priority: Priority = Priority.NORMAL
     time_out_ms: int = 2_000
+    together: bool = False
 
 
 @attrs.frozen
 class Arrivals:
-    """Root requests of one kind: calls a second at a moment."""
+    """Root requests of one kind: calls a second at a moment.
+
+    Parameters
+    ----------
+    hasty_part : float
+        Part of the clients that comes back at once and several times.
+    """
 
     kind: str
     per_s: Callable[[float], float]
+    account: str = "a"
+    hasty_part: float = 0.0
+
+
+@attrs.frozen
+class Trouble:
+    """What befalls one server for a while.
+
+    Parameters
+    ----------
+    service, place : str, int
+        The server, by its place in the service.
+    slowness : float
+        Factor on its run times.
+    rejects_part : float
+        Part of its calls that it rejects unrun, whatever its load.
+    is_away : bool
+        Whether it takes no calls: it joins at the end of the span.
+    """
+
+    service: str
+    place: int
+    since_ms: float
+    until_ms: float
+    slowness: float = 1.0
+    rejects_part: float = 0.0
+    is_away: bool = False
 
 
 @attrs.define(eq=False)
 class _Server:
     gate: AdmissionGate
     speed: float
+    troubles: tuple[Trouble, ...] = ()
     waiting: dict[int, Callable[[Refusal | None], None]] = attrs.field(factory=dict)
 
     def load(self) -> float:
         return (self.gate.running() + self.gate.queued()) / self.gate.slots
 
+    def is_here(self, now_ms: float) -> bool:
+        return not any(one.is_away for one in self._present(now_ms))
+
+    def rejects_part(self, now_ms: float) -> float:
+        return max((one.rejects_part for one in self._present(now_ms)), default=0.0)
+
+    def slowness(self, now_ms: float) -> float:
+        """Return the factor on run times: troubles, and a cold start after one was away."""
+        factor = math.prod(one.slowness for one in self._present(now_ms))
+        is_cold = any(
+            one.is_away and 0 <= now_ms - one.until_ms < COLD_MS for one in self.troubles
+        )
+        return factor * (COLD_SLOWNESS if is_cold else 1.0)
+
+    def _present(self, now_ms: float) -> list[Trouble]:
+        return [one for one in self.troubles if one.since_ms <= now_ms < one.until_ms]
+
 
 @attrs.define(eq=False)
 class _Call:
     """One call on its way; `done` gets whether it succeeded and the levels heard."""
 
     kind: Kind
+    account: str
     rank: int
     span: int
     represented: int
@@ -93,6 +152,12 @@
         Parameters of every gate.
     retries : int
         Times that a client comes back after a refusal.
+    knee : float
+        Part of the slots from which a server runs slower by `knee_slowness`.
+    served_at : list
+        Moment, kind and account of each root request that was answered in time.
+    wasted_ms : float
+        Run time spent on calls of requests that were not answered in time.
     """
 
     kinds: dict[str, Kind]
@@ -100,9 +165,14 @@
     admission: AdmissionConfig
     seed: int = 1
     retries: int = 1
+    troubles: tuple[Trouble, ...] = ()
+    knee: float = 1.0
+    knee_slowness: float = 1.0
     now_ms: float = 0.0
     counts: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    by_account: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     served_at: list[tuple[float, str]] = attrs.field(factory=list)
+    wasted_ms: float = 0.0
     _events: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
     _seq: int = 0
     _random: Random = attrs.field(init=False)
@@ -118,6 +188,9 @@
                         slots, service, f"{service}{n}", self.admission, FixedLimiter(slots)
                     ),
                     speed,
+                    tuple(
+                        one for one in self.troubles if (one.service, one.place) == (service, n)
+                    ),
                 )
                 for n, (slots, speed) in enumerate(servers)
             ]
@@ -155,19 +228,32 @@
         per_s = arrivals.per_s(self.now_ms)
         if per_s > 0:
             kind = self.kinds[arrivals.kind]
-            self._request(kind, self.now_ms + kind.time_out_ms, self.retries)
+            is_hasty = arrivals.hasty_part and self._random.random() < arrivals.hasty_part
+            retries = HASTY_RETRIES if is_hasty else self.retries
+            deadline_ms = self.now_ms + kind.time_out_ms
+            self.by_account[arrivals.account, "asked"] += 1
+            self._request(kind, arrivals.account, deadline_ms, retries, bool(is_hasty))
         gap_ms = self._random.expovariate(max(per_s, 1.0) / 1_000)
         self._after(gap_ms, lambda: self._arrive(arrivals))
 
-    def _request(self, kind: Kind, deadline_ms: float, retries: int) -> None:
+    def _request(
+        self, kind: Kind, account: str, deadline_ms: float, retries: int, is_hasty: bool = False
+    ) -> None:
         now = int(self.now_ms)
-        levels, account = self._levels, "a"
+        levels = self._levels
         excess = levels.excess_milli(now, account, kind.priority, kind.name)
         span = levels.rank_span(now, kind.name)
         rank = shed_rank(kind.priority, excess, str(self._random.random()), span)
         refusal = levels.should_shed(now, rank, kind.name, account, kind.priority)
         if refusal is not None:
-            self._come_back(kind, deadline_ms, retries, refusal)
+            self.counts[kind.name, "refused"] += 1
+            left_ms = deadline_ms - self.now_ms
+            if retries and left_ms > 0:
+                advised_ms = HASTY_MS if is_hasty else refusal.retry_after_ms or HASTY_MS
+                self._after(
+                    min(advised_ms, left_ms / 3),
+                    lambda: self._request(kind, account, deadline_ms, retries - 1, is_hasty),
+                )
             return
         represented = levels.take_represented(now, kind.name, account, kind.priority)
 
@@ -176,27 +262,27 @@
             in_time = succeeded and self.now_ms <= deadline_ms
             self.counts[kind.name, "served" if in_time else "failed"] += 1
             if in_time:
+                self.by_account[account, "served"] += 1
                 self.served_at.append((self.now_ms, kind.name))
+            else:
+                self.wasted_ms += sum(level.work_ms for level in found)
 
         call = _Call(
-            kind, rank, span, represented, kind.priority, deadline_ms, is_child=False, done=done
+            kind, account, rank, span, represented, kind.priority, deadline_ms, False, done
         )
         self._after(WAY_MS, lambda: self._send(call))
 
-    def _come_back(self, kind: Kind, deadline_ms: float, retries: int, refusal: Refusal) -> None:
-        self.counts[kind.name, "refused"] += 1
-        left_ms = deadline_ms - self.now_ms
-        if retries and left_ms > 0:
-            pause_ms = min(refusal.retry_after_ms or HASTY_MS, left_ms / 3)
-            self._after(pause_ms, lambda: self._request(kind, deadline_ms, retries - 1))
-
     def _send(self, call: _Call) -> None:
-        servers = self._fleet[call.kind.service]
+        servers = [one for one in self._fleet[call.kind.service] if one.is_here(self.now_ms)]
         server = min(self._random.sample(servers, min(2, len(servers))), key=_Server.load)
+        rejects_part = server.rejects_part(self.now_ms)
+        if rejects_part and self._random.random() < rejects_part:
+            self._end(server, None, call, False, ())
+            return
         self._seq += 1
         ticket = Ticket(
             call_id=self._seq,
-            account="a",
+            account=call.account,
             weight=1,
             priority=call.priority,
             rank=call.rank,
@@ -235,10 +321,17 @@
     def _start(self, server: _Server, ticket: Ticket, call: _Call) -> None:
         started_ms = self.now_ms
         work_ms = call.kind.work_ms * self._random.lognormvariate(-0.125, 0.5) / server.speed
+        work_ms *= server.slowness(self.now_ms)
+        if server.gate.running() >= self.knee * server.gate.slots:
+            work_ms *= self.knee_slowness
         children = [name for name, times in call.kind.calls for _ in range(times)]
         heard: dict[tuple[str, str], AdmissionLevel] = {}
+        running = 0
+        is_over = False
 
         def go_on(succeeded: bool, found: tuple[AdmissionLevel, ...]) -> None:
+            nonlocal running
+            running -= 1
             for level in found:
                 known = heard.get((level.service, level.vm_id))
                 work = level.work_ms + (known.work_ms if known else 0)
@@ -246,13 +339,24 @@
             if not succeeded or self.now_ms > call.deadline_ms:
                 finish(False)
             elif children:
-                kind = self.kinds[children.pop()]
-                child = attrs.evolve(call, kind=kind, is_child=True, done=go_on)
-                self._after(WAY_MS, lambda: self._send(child))
-            else:
+                call_next()
+                while children and call.kind.together:
+                    call_next()
+            elif not running:
                 finish(True)
 
+        def call_next() -> None:
+            nonlocal running
+            running += 1
+            kind = self.kinds[children.pop()]
+            child = attrs.evolve(call, kind=kind, is_child=True, done=go_on)
+            self._after(WAY_MS, lambda: self._send(child))
+
         def finish(succeeded: bool) -> None:
+            nonlocal is_over
+            if is_over:
+                return
+            is_over = True
             held_ms = max(1, int(self.now_ms - started_ms))
             self._end(server, (ticket, held_ms), call, succeeded, tuple(heard.values()))
 
@@ -260,6 +364,7 @@
         if work_ms > left_ms:
             self._after(max(0.0, left_ms), lambda: finish(False))
         else:
+            running = 1
             self._after(work_ms, lambda: go_on(True, ()))
 
     def _end(
@@ -270,10 +375,8 @@
         succeeded: bool,
         below: tuple[AdmissionLevel, ...],
     ) -> None:
-        own = server.gate.level("a", call.priority)
+        own = server.gate.level(call.account, call.priority)
         if held is not None:
-            from wisteria_admission import Outcome
-
             ticket, held_ms = held
             own = attrs.evolve(own, work_ms=held_ms)
             outcome = Outcome.SUCCESS if succeeded else Outcome.TIMEOUT
--- a/tests/admission/test_demand.py
+++ b/tests/admission/test_demand.py
@@ -3,12 +3,11 @@
 import functools
 
 import pytest
+from script.tools.graph_model import Arrivals, GraphModel, Kind, surge
 
 from wisteria_admission import HASH_RANKS, RANK_COUNT, AdmissionConfig, DemandConfig, DemandLevel
 from wisteria_core import Priority
 
-from .graph_model import Arrivals, GraphModel, Kind, surge
-
 SURGE_MS = (4_000, 16_000)
 KINDS = {
     kind.name: kind
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -404,7 +404,13 @@
         return nodes
 
     async def call(
-        self, node: Node, path: str, method: str = "GET", timeout_ms: int = 2_000, **headers: str
+        self,
+        node: Node,
+        path: str,
+        method: str = "GET",
+        timeout_ms: int = 2_000,
+        body: bytes = b"",
+        **headers: str,
     ) -> Reply:
         """Send a request of a client on a VM and return its answer."""
         sent = {
@@ -415,9 +421,10 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
         lines = [f"{method} {path} HTTP/1.1", "connection: close"]
+        lines += [f"content-length: {len(body)}"] if body else []
         lines += [f"{name}: {value}" for name, value in sent.items() if value]
         reader, writer = await asyncio.open_connection(node.host, CALLERS)
-        writer.write("\r\n".join([*lines, "", ""]).encode())
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
         with anyio.fail_after(WAIT_S):
             data = await reader.read()
         writer.close()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -223,6 +223,20 @@
     assert upstream.http.accepted == 3
 
 
+async def test_a_body_as_long_as_the_configuration_allows_reaches_another_vm(mesh: Mesh) -> None:
+    config = make_config()
+    config["limits"]["max_body_bytes"] = 12_000_000
+    mesh.publish(config)
+    entry = await mesh.add_node(registers=False)
+    serving = await mesh.add_node()
+    await wait_until(lambda: entry.daemon.is_ready() and len(entry.daemon.vm_list or ()) == 1)
+    body = bytes(range(250)) * 40_000
+    found = await mesh.call(entry, "/orders/1", "POST", body=body)
+    assert found.status == 200
+    (ran,) = serving.upstream.ran
+    assert ran.body == body
+
+
 async def test_calls_are_divided_by_weight(mesh: Mesh) -> None:
     split = make_route("y", "/yields/", "idempotent")
     split["traffic_split"] = [
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -23,8 +23,12 @@
 Reply = Callable[[VmId], tuple[CallOutcome, int, ServerLoad | None]]
 
 
-def make_chooser(seed: int = 1, domain_of: Callable[[int], FailureDomain] | None = None) -> Chooser:
-    chooser = Chooser(EAST, Random(seed))
+def make_chooser(
+    seed: int = 1,
+    domain_of: Callable[[int], FailureDomain] | None = None,
+    explore_share: float = 0.0,
+) -> Chooser:
+    chooser = Chooser(EAST, Random(seed), ChooserConfig(explore_share=explore_share))
     domains = [domain_of(number) if domain_of else EAST for number in range(len(SERVERS))]
     chooser.update(0, [Candidate(vm, domains[n]) for n, vm in enumerate(SERVERS)])
     return chooser
@@ -141,6 +145,35 @@
     assert sum(sent[vm] for vm in SERVERS[3:]) > 200
 
 
+def test_a_slow_server_nearby_is_passed_over_until_it_is_fast_again() -> None:
+    """One server in the own failure domain, five times slower than those elsewhere."""
+    chooser = make_chooser(
+        domain_of=lambda number: EAST if number == 0 else WEST, explore_share=0.03
+    )
+    slow = SERVERS[0]
+
+    def reply(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        return CallOutcome.SUCCESS, 150 if vm == slow else 30, ServerLoad(8, 0, 40)
+
+    run_calls(chooser, 0, 3_000, reply)
+    assert run_calls(chooser, 3_000, 300, reply)[slow] < 100
+    even = run_calls(chooser, 40_000, 600, lambda vm: (*answer_well(vm)[:2], ServerLoad(8, 0, 40)))
+    assert even[slow] > 500
+
+
+def test_a_server_that_gets_the_long_calls_does_not_count_as_slow() -> None:
+    chooser = make_chooser(domain_of=lambda number: EAST if number == 0 else WEST)
+    random = Random(5)
+    for now_ms in range(0, 4_000, 2):
+        vm = random.choice(SERVERS)
+        is_long = vm == SERVERS[0] and random.random() < 0.8
+        chooser.note_sent(now_ms, vm)
+        latency_ms = round((300 if is_long else 30) * random.uniform(0.7, 1.3))
+        kind = "long" if is_long else "short"
+        chooser.note_answer(now_ms, vm, CallOutcome.SUCCESS, latency_ms, HALF_LOADED, kind)
+    assert chooser.choose(4_000) == SERVERS[0]
+
+
 def test_a_new_server_starts_slowly_and_a_new_connection_counts() -> None:
     chooser = make_chooser()
     fresh = VmId("fresh")
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from wisteria_core import Clock, Refusal, ResultCode, RunState
+from wisteria_core import Clock, ManualClock, Refusal, ResultCode, RunState
 from wisteria_wire import HttpCall, HttpClientPool, collect_body, encode_request
 from wisteria_wire.http_client import HttpClientConnection
 
@@ -75,6 +75,44 @@
     run_loop(body)
 
 
+@pytest.mark.parametrize(("keep_alive", "opened"), [(b"keep-alive: timeout=10\r\n", 2), (b"", 3)])
+def test_pauses_between_requests_open_few_connections(
+    run_loop: RunLoop, keep_alive: bytes, opened: int
+) -> None:
+    """A backend server closes what stands idle, and a burst opens it all again."""
+    accepted: list[asyncio.StreamWriter] = []
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(writer)
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.01)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + keep_alive + b"content-length: 0\r\n\r\n")
+
+    async def body() -> None:
+        server, pool = await serve(answer)
+        clock = ManualClock()
+        pool._clock = clock
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fetch, pool, "/1")
+            tasks.start_soon(fetch, pool, "/2")
+        for _ in range(6):
+            clock.advance(5_000)
+            await fetch(pool, "/3")
+        call = await pool.send(REQUEST, fresh=True)
+        assert isinstance(call, HttpCall)
+        await collect_body(call.answer.body, 0)
+        clock.advance(5_000)
+        call = await pool.send(REQUEST, fresh=True)
+        assert isinstance(call, HttpCall)
+        await collect_body(call.answer.body, 0)
+        assert len(accepted) == opened
+        await pool.async_unload()
+        server.close()
+
+    run_loop(body)
+
+
 def test_a_cut_before_the_answer_leaves_the_outcome_unknown(run_loop: RunLoop) -> None:
     async def body() -> None:
         server, pool = await serve(answer_with())
