--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -288,9 +288,7 @@
     def _refuse_rate(self, plan: Plan, refusal: Refusal) -> ResultCode:
         """Answer a call whose account is beyond its rate."""
         if refusal.retry_after_ms is not None:
-            return_ms = advise_return(
-                refusal.retry_after_ms, plan.route.target_ms, plan.request_id
-            )
+            return_ms = advise_return(refusal.retry_after_ms, plan.route.target_ms, plan.request_id)
             refusal = attrs.evolve(refusal, retry_after_ms=return_ms)
         plan.trace.update(reason=refusal.reason, retry_after_ms=refusal.retry_after_ms)
         return self._answer_refusal(plan.request, plan.request_id, refusal)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -197,7 +197,9 @@
     def _choose(self) -> VmId | Refusal:
         if self.prefer is not None and self.prefer not in self.tried:
             return self.prefer
-        return self.chooser.choose(self.forwarder.clock.now_ms(), self.tried)
+        now_ms = self.forwarder.clock.now_ms()
+        left_ms = self.deadline_at_ms - now_ms
+        return self.chooser.choose(now_ms, self.tried, self.head.route_id, left_ms)
 
     async def _attempt(self, vm_id: VmId) -> Forwarded:
         clock = self.forwarder.clock
--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -1,5 +1,6 @@
 """Choice of a backend server: least load of sampled candidates, ejection, probes."""
 
+import math
 from collections.abc import Iterable, Sequence
 from random import Random
 
@@ -58,7 +59,13 @@
             self._servers[candidate.vm_id] = server
             self._seen_candidates = True
 
-    def choose(self, now_ms: int, exclude: frozenset[VmId] = frozenset()) -> VmId | Refusal:
+    def choose(
+        self,
+        now_ms: int,
+        exclude: frozenset[VmId] = frozenset(),
+        kind: str = "",
+        time_ms: float = math.inf,
+    ) -> VmId | Refusal:
         """Return the backend server for a call, or a refusal when there is none.
 
         Parameters
@@ -67,6 +74,10 @@
             Present time.
         exclude : frozenset of VmId
             Backend servers that the call has tried.
+        kind : str
+            Calls of one kind take about as long at servers of one speed.
+        time_ms : float
+            Time that the call has, in milliseconds.
         """
         open_servers = [
             server
@@ -77,7 +88,9 @@
         if probe is not None:
             return probe.vm_id
         healthy = [server for server in open_servers if server.ejected_until_ms is None]
-        chosen = self._choose_among(now_ms, healthy or open_servers)
+        usual_ms = self._latencies.get(kind, 0.0)
+        slowest = self.config.local_time_part * time_ms / usual_ms if usual_ms else math.inf
+        chosen = self._choose_among(now_ms, healthy or open_servers, slowest)
         if chosen is None:
             return Refusal(
                 ResultCode.NO_BACKEND_SERVER,
@@ -166,24 +179,28 @@
             if server.candidate.usable and server.vm_id not in exclude
         ]
 
-    def _choose_among(self, now_ms: int, servers: list[Server]) -> Server | None:
+    def _choose_among(self, now_ms: int, servers: list[Server], slowest: float) -> Server | None:
         local = [s for s in servers if s.candidate.failure_domain == self.failure_domain]
         usual = self._find_usual(now_ms)
         best = self._best_of(now_ms, local, usual)
         remote = [s for s in servers if s.candidate.failure_domain != self.failure_domain]
-        if best is not None and self._is_good_enough(now_ms, best, usual):
-            explores = remote and self.random.random() < self.config.explore_share
-            return self.random.choice(remote) if explores else best
+        if best is not None and remote and self.random.random() < self.config.explore_share:
+            return self.random.choice(remote)
+        if best is not None and self._is_good_enough(now_ms, best, usual, slowest):
+            return best
         other = self._best_of(now_ms, remote, usual)
         if best is None or other is None:
             return best or other
-        other_score = other.score(now_ms, usual, self.config) * self.config.remote_penalty
+        other_score = other.score(now_ms, usual, self.config)
+        if best.slowness_at(now_ms, self.config) <= slowest:
+            other_score *= self.config.remote_penalty
         return other if other_score < best.score(now_ms, usual, self.config) else best
 
-    def _is_good_enough(self, now_ms: int, server: Server, usual: Usual) -> bool:
+    def _is_good_enough(self, now_ms: int, server: Server, usual: Usual, slowest: float) -> bool:
         """Return whether a server of the own failure domain is taken without a look further."""
         config = self.config
-        if server.slowness_at(now_ms, config) > config.local_slowness * usual.fastest:
+        slowest = min(slowest, config.local_slowness * usual.fastest)
+        if server.slowness_at(now_ms, config) > slowest:
             return False
         return server.load(now_ms, usual, config) <= config.local_load
 
--- a/libs/routing/src/wisteria_routing/config.py
+++ b/libs/routing/src/wisteria_routing/config.py
@@ -24,6 +24,9 @@
     local_slowness : float
         Slowness against the fastest candidate up to which only the own failure domain is
         considered.
+    local_time_part : float
+        Part of a call's time that its run may be expected to take in the own failure domain; a
+        run that takes longer is at risk of its deadline and goes where it is fastest.
     explore_share : float
         Part of the calls that leaves the own failure domain although its servers are good
         enough, so that faster ones elsewhere become known.
@@ -56,6 +59,7 @@
     slow_start_ms: int = 5_000
     local_load: float = 0.8
     local_slowness: float = 2.5
+    local_time_part: float = 0.6
     explore_share: float = 0.0
     remote_penalty: float = 1.25
     slowness_half_life_ms: int = 10_000
--- a/script/tools/graph_model.py
+++ b/script/tools/graph_model.py
@@ -116,9 +116,7 @@
     def slowness(self, now_ms: float) -> float:
         """Return the factor on run times: troubles, and a cold start after one was away."""
         factor = math.prod(one.slowness for one in self._present(now_ms))
-        is_cold = any(
-            one.is_away and 0 <= now_ms - one.until_ms < COLD_MS for one in self.troubles
-        )
+        is_cold = any(one.is_away and 0 <= now_ms - one.until_ms < COLD_MS for one in self.troubles)
         return factor * (COLD_SLOWNESS if is_cold else 1.0)
 
     def _present(self, now_ms: float) -> list[Trouble]:
@@ -188,9 +186,7 @@
                         slots, service, f"{service}{n}", self.admission, FixedLimiter(slots)
                     ),
                     speed,
-                    tuple(
-                        one for one in self.troubles if (one.service, one.place) == (service, n)
-                    ),
+                    tuple(one for one in self.troubles if (one.service, one.place) == (service, n)),
                 )
                 for n, (slots, speed) in enumerate(servers)
             ]
--- a/tests/routing/test_chooser.py
+++ b/tests/routing/test_chooser.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import attrs
+import pytest
 
 from wisteria_core import FailureDomain, Refusal, ResultCode, VmId
 from wisteria_routing import (
@@ -161,6 +162,26 @@
     assert even[slow] > 500
 
 
+@pytest.mark.parametrize(("time_ms", "stays"), [(1_200, False), (3_000, True)])
+def test_a_slow_server_nearby_gets_no_call_that_it_may_not_finish(
+    time_ms: int, stays: bool
+) -> None:
+    """The pattern: a run of 900 ms on average at the nearest server, twice as long as elsewhere."""
+    chooser = make_chooser(
+        domain_of=lambda number: EAST if number == 0 else WEST, explore_share=0.01
+    )
+    sent: Counter[VmId] = Counter()
+    for now_ms in range(0, 20_000, 10):
+        vm = chooser.choose(now_ms, frozenset(), "status", time_ms)
+        assert not isinstance(vm, Refusal)
+        chooser.note_sent(now_ms, vm)
+        sent[vm] += 1
+        latency_ms = 900 if vm == SERVERS[0] else 470
+        load = ServerLoad(12, 0, 40)
+        chooser.note_answer(now_ms, vm, CallOutcome.SUCCESS, latency_ms, load, "status")
+    assert sent[SERVERS[0]] > 1_900 if stays else sent[SERVERS[0]] < 600
+
+
 def test_a_server_that_gets_the_long_calls_does_not_count_as_slow() -> None:
     chooser = make_chooser(domain_of=lambda number: EAST if number == 0 else WEST)
     random = Random(5)
