--- a/libs/daemon/src/wisteriaproxy/mesh/roster.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/roster.py
@@ -10,10 +10,14 @@
 """Time after the store's return in which a live server has registered again: the platform
 states two seconds, and a part of a second goes to reading it."""
 
+MAX_REMOVED = 1_000
+"""Removed entries that are remembered: those of the last minutes on a fleet of hundreds of VMs."""
 
 LEAST_OUTAGE_MS = 2_000
 """Shortest outage in which entries lapse: they outlive more than two missed heartbeats."""
 
+_NEVER = (-1, -1)
+
 
 @attrs.define
 class _Missing:
@@ -33,6 +37,7 @@
 
     _entries: dict[str, ServerEntry] = attrs.field(factory=dict)
     _missing: dict[str, _Missing] = attrs.field(factory=dict)
+    _removed: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     _returned_ms: int | None = None
     _away_since_ms: int | None = None
     _version: int = 0
@@ -49,16 +54,28 @@
             self._returned_ms = now_ms
 
     def put(self, entry: ServerEntry) -> None:
-        """Take in an entry as it was written; an older state of it changes nothing."""
+        """Take in an entry as it was written; an older state of it changes nothing.
+
+        A delayed write would make a leaving server ready, or bring a removed one back.
+        """
         known = self._entries.get(entry.name)
         if known is not None and known.revision > entry.revision:
             return
+        if known is not None and known.state_order > entry.state_order:
+            return
+        if entry.state_order <= self._removed.get(entry.name, _NEVER):
+            return
+        self._removed.pop(entry.name, None)
         self._entries[entry.name] = entry
         self._missing.pop(entry.name, None)
 
     def remove(self, now_ms: int, name: str) -> None:
         """Take in that an entry was removed."""
         entry = self._entries.pop(name, None)
+        if entry is not None:
+            self._removed[name] = entry.state_order
+            if len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
         if entry is not None and self._is_in_grace(now_ms) and not entry.is_leaving:
             assert self._returned_ms is not None
             self._missing[name] = _Missing(entry, self._returned_ms + RETURN_GRACE_MS)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,6 +58,7 @@
                 "slots": 3,
                 "state": "ready",
                 "born": 1,
+                "sequence": 1,
             }
         )
         mesh.store.put(f"servers/x-{number}", entry.encode())
--- a/tests/wisteriaproxy/test_mesh_roster.py
+++ b/tests/wisteriaproxy/test_mesh_roster.py
@@ -11,9 +11,10 @@
     revision: int = 1,
     born: int = 1,
     state: VmState = VmState.LIVE,
+    sequence: int | None = None,
 ) -> ServerEntry:
     vm = Vm(VmId(host), host, 1, 2, FailureDomain("north"), "yield", state, instance=name)
-    return ServerEntry(name, vm, born, revision)
+    return ServerEntry(name, vm, born, revision, revision if sequence is None else sequence)
 
 
 def list_instances(roster: Roster) -> list[str]:
@@ -27,6 +28,29 @@
     assert list_instances(roster) == []
 
 
+def test_a_delayed_write_brings_no_removed_server_back() -> None:
+    roster = Roster()
+    roster.put(make_entry("a", revision=5, sequence=7))
+    roster.remove(1_000, "a")
+    roster.put(make_entry("a", revision=6, sequence=6))
+    roster.put(make_entry("a", revision=7, sequence=7))
+    assert list_instances(roster) == []
+    roster.put(make_entry("a", revision=8, sequence=8))
+    assert list_instances(roster) == ["a"]
+    roster.remove(2_000, "a")
+    # the process has started again under its name and counts anew
+    roster.put(make_entry("a", revision=9, born=2, sequence=1))
+    assert list_instances(roster) == ["a"]
+
+
+def test_a_delayed_write_makes_no_leaving_server_ready() -> None:
+    roster = Roster()
+    roster.put(make_entry("a", revision=5, sequence=7, state=VmState.LEAVING))
+    roster.put(make_entry("a", revision=6, sequence=6))
+    (vm,) = roster.make_list()
+    assert vm.state is VmState.LEAVING
+
+
 def test_an_entry_that_lapsed_during_an_outage_is_kept_for_the_grace() -> None:
     roster = Roster()
     roster.put(make_entry("a"))
