--- a/libs/routing/src/wisteria_routing/chooser.py
+++ b/libs/routing/src/wisteria_routing/chooser.py
@@ -79,18 +79,20 @@
         time_ms : float
             Time that the call has, in milliseconds.
         """
-        open_servers = [
-            server
-            for server in self._usable(exclude)
-            if server.in_flight < self.config.max_in_flight
-        ]
-        probe = next((server for server in open_servers if server.wants_probe(now_ms)), None)
-        if probe is not None:
-            return probe.vm_id
-        healthy = [server for server in open_servers if server.ejected_until_ms is None]
+        healthy: list[Server] = []
+        ejected: list[Server] = []
+        for server in self._usable(exclude):
+            if server.in_flight >= self.config.max_in_flight:
+                continue
+            if server.ejected_until_ms is None:
+                healthy.append(server)
+                continue
+            if server.wants_probe(now_ms):
+                return server.vm_id
+            ejected.append(server)
         usual_ms = self._latencies.get(kind, 0.0)
         slowest = self.config.local_time_part * time_ms / usual_ms if usual_ms else math.inf
-        chosen = self._choose_among(now_ms, healthy or open_servers, slowest)
+        chosen = self._choose_among(now_ms, healthy or ejected, slowest)
         if chosen is None:
             return Refusal(
                 ResultCode.NO_BACKEND_SERVER,
@@ -173,6 +175,8 @@
         ]
 
     def _usable(self, exclude: frozenset[VmId]) -> list[Server]:
+        if not exclude:
+            return [server for server in self._servers.values() if server.candidate.usable]
         return [
             server
             for server in self._servers.values()
@@ -180,10 +184,13 @@
         ]
 
     def _choose_among(self, now_ms: int, servers: list[Server], slowest: float) -> Server | None:
-        local = [s for s in servers if s.candidate.failure_domain == self.failure_domain]
+        local: list[Server] = []
+        remote: list[Server] = []
+        for server in servers:
+            is_local = server.candidate.failure_domain == self.failure_domain
+            (local if is_local else remote).append(server)
         usual = self._find_usual(now_ms)
         best = self._best_of(now_ms, local, usual)
-        remote = [s for s in servers if s.candidate.failure_domain != self.failure_domain]
         if best is not None and remote and self.random.random() < self.config.explore_share:
             return self.random.choice(remote)
         if best is not None and self._is_good_enough(now_ms, best, usual, slowest):
@@ -219,6 +226,8 @@
     def _best_of(self, now_ms: int, servers: list[Server], usual: Usual) -> Server | None:
         """Return the best of a few sampled servers; a starting one is sampled less often."""
         config = self.config
+        if len(servers) == 1:
+            return servers[0]
         started = [s for s in servers if self._is_drawn(s.start_part(now_ms, config))]
         sampled = started or servers
         if len(sampled) > config.samples:
@@ -252,13 +261,15 @@
         config = self.config
         if server.outcomes < config.eject_min_outcomes:
             return False
+        rate = server.error_rate(now_ms, config)
+        if rate < config.eject_error_rate:
+            return False
         others = [s for s in self._servers.values() if s is not server and s.candidate.usable]
         ejected = sum(1 for s in others if s.ejected_until_ms is not None)
         if ejected + 1 > max(1, int(config.eject_share * (len(others) + 1))) or not others:
             return False
-        rate = server.error_rate(now_ms, config)
         lowest = min(other.error_rate(now_ms, config) for other in others)
-        return rate >= max(config.eject_error_rate, 2.0 * lowest)
+        return rate >= 2.0 * lowest
 
     def _judge_probe(self, now_ms: int, server: Server, outcome: CallOutcome) -> None:
         if server.ejected_until_ms is None or now_ms < server.ejected_until_ms:
--- a/libs/routing/src/wisteria_routing/servers.py
+++ b/libs/routing/src/wisteria_routing/servers.py
@@ -87,6 +87,8 @@
 
     def error_rate(self, now_ms: int, config: ChooserConfig) -> float:
         """Return the error rate; it fades while nothing is sent, so that one is tried again."""
+        if self._error_rate < NEGLIGIBLE_ERROR_RATE:
+            return 0.0
         rate = self._error_rate * _fade(now_ms - self._error_noted_ms, config.error_half_life_ms)
         return rate if rate >= NEGLIGIBLE_ERROR_RATE else 0.0
 
