Control traffic over relays in place of a full mesh of reports

Cause: each daemon kept a link to every other, sent it a report of all accounts every 400 ms, and read and watched the store by itself.

Change: a daemon subscribes to two relays of its failure domain, chosen by rendezvous hashing. Relays watch the store and pass on changes with their positions; new calls of accounts go to one of them and are summed across failure domains. Admission needs no sums over peers. Links are opened to relays and to VMs that are called. A silent daemon is called last, while its link and the calls on it stay: links were closed after 2 s of silence or a pause of the process, and running calls with them.

tests/limits/shares_fleet.py follows the new interface of the limiter: each daemon receives sums, its own calls included, as from a relay of its own; bounds and scenarios are unchanged.

--- a/libs/daemon/src/wisteriaproxy/control/plane.py
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -33,6 +33,8 @@
         Returns a VM of the list in force, or None.
     pending_sends : int
         Number of messages that wait for a link to be opened.
+    on_unreachable : callable
+        Called with a VM to which no link could be opened for a message.
     """
 
     own_vm: VmId
@@ -45,6 +47,7 @@
     received_bytes: int = 0
     counts: Counter[str] = attrs.field(factory=Counter)
     link_bytes: Counts = attrs.field(factory=lambda: Counts(LINK_BYTES))
+    on_unreachable: Callable[[VmId], None] = lambda vm_id: None
     _handlers: dict[type[Any], Handler] = attrs.field(factory=dict)
 
     def register(self, handler: Handler, *kinds: type[Any]) -> None:
@@ -109,6 +112,7 @@
             self.pending_sends -= 1
         if isinstance(link, Refusal):
             self.counts["unreachable"] += 1
+            self.on_unreachable(vm.vm_id)
             return
         self._write(link, number, payload)
 
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -46,6 +46,7 @@
     GATE_TICK_MS,
     SETTINGS_POLL_MS,
 )
+from .directory import EntryChanges
 from .endpoints import (
     PATH_METRICS,
     PATH_STATUS,
@@ -134,7 +135,7 @@
             random,
             clock,
             is_usable=self._is_usable,
-            is_connected=lambda vm_id: vm_id == self.vm_id or self.links.find(vm_id) is not None,
+            is_connected=lambda vm_id: vm_id == self.vm_id or self.exchange.is_responsive(vm_id),
             retry_slack=settings.bounds.retry_slack,
             load_balancer_config=LOAD_BALANCER_CONFIG,
         )
@@ -143,8 +144,8 @@
         )
         self.exchange = ReportExchange(
             self.vm_id,
+            FailureDomain(settings.vm.failure_domain),
             clock,
-            tasks,
             self.links,
             self.control,
             self.rate_limiter,
@@ -153,6 +154,7 @@
             read_published=lambda: self.published,
             read_vm_list=lambda: self.vm_list,
             update_document=self.update_document,
+            update_vm_list=self.update_vm_list,
             on_change=self._handle_peer_change,
         )
         self.gaps = GapMonitor(clock, settings.timing.loop_gap_ms, self.metrics, self._handle_gap)
@@ -275,7 +277,13 @@
             from_version=known,
             to_version=document.version,
         )
-        self.exchange.send_reports()
+        self.exchange.note_document()
+
+    def update_entries(self, changes: EntryChanges) -> bool:
+        return self.exchange.apply_store_changes(changes)
+
+    def note_store(self, *, is_reached: bool) -> None:
+        self.exchange.note_store(is_reached=is_reached)
 
     def update_vm_list(self, vm_list: VmList) -> None:
         before = {vm.vm_id: vm for vm in self.vm_list} if self.vm_list is not None else {}
@@ -290,10 +298,12 @@
         own = after.get(self.vm_id)
         if own is not None and own.slots and own.slots != self.serving.gate.slots:
             self.serving.gate.set_slots(self.clock.now_ms(), own.slots)
+        if not before:
+            _LOGGER.info("vm_list_read", extra={"vms": len(after)})
+            return
         for vm_id in before.keys() | after.keys():
             if before.get(vm_id) != after.get(vm_id):
                 self._log_vm(vm_id, after)
-        self.exchange.dial_missing()
 
     @staticmethod
     def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
@@ -331,7 +341,7 @@
         """Refuse new calls, wait for calls in flight, then close everything."""
         self.entry.is_stopping = True
         self.serving.begin_stop()
-        self.exchange.send_reports()
+        self.exchange.announce_leaving()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
         await self.callers.async_unload()
         with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_FRACTION):
@@ -370,7 +380,7 @@
             "ready": self.is_ready(),
             "gate": self.serving.gate.describe(),
             "rates": self.rate_limiter.describe(now_ms),
-            "peers": self.exchange.peer_states.describe(now_ms),
+            "peers": self.exchange.describe(now_ms),
         }
 
     def reload_settings(self) -> None:
@@ -407,7 +417,7 @@
         is_draining = self.exchange.leaving_servers.is_leaving(self.vm_id)
         if is_draining != self.serving.is_draining:
             self.serving.set_draining(is_draining)
-            self.exchange.send_reports()
+            self.exchange.announce_leaving()
 
     def _serve_locally(self, call: LocalCall, head: CallHead) -> None:
         self.call_tasks.spawn(self.serving.serve, call, head)
@@ -442,9 +452,8 @@
         return None
 
     def _handle_gap(self) -> None:
-        """Close all links: peers may have closed them during a pause of the process."""
-        for link in self.links.list_links():
-            link.close("the process was paused")
+        """Discard what the pause has made outdated; running calls and their links stay."""
+        self.exchange.handle_gap()
 
     def _set_gauges(self) -> None:
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
--- a/libs/daemon/src/wisteriaproxy/mesh/news.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/news.py
@@ -1,8 +1,4 @@
-"""Exchange of reports and configurations between mesh daemons.
-
-A report (`PeerNews`) holds the configuration version in force, whether the daemon is leaving, and
-the usage of each account. A daemon that learns of a newer configuration requests it from the peer.
-"""
+"""Control messages between mesh daemons: connects the control node to links and the platform."""
 
 import logging
 import time
@@ -10,16 +6,25 @@
 
 import anyio
 import attrs
-from anyio.abc import TaskGroup
 
-from wisteria_core import Clock, Vm, VmId, VmList
+from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList
 from wisteria_limits import SharedRateLimiter
 from wisteria_wire import Link, LinkPool
 
 from ..control.plane import ControlPlane
-from .const import CLEANUP_INTERVAL_MS, REPORT_INTERVAL_MS
+from .const import BROADCAST_OFFSET_MS, REPORT_INTERVAL_MS, SUMMARY_OFFSET_MS
+from .directory import Applied, EntryChanges
 from .leaving import LeavingServers
-from .messages import DocumentAsk, PeerNews, PublishedDocument
+from .messages import (
+    DocumentAsk,
+    DomainNews,
+    MemberReport,
+    PeerNews,
+    PublishedDocument,
+    RelayNews,
+    Subscription,
+)
+from .node import ControlNode
 from .peers import PeerStates
 from .sources import PublishedConfig, Source
 
@@ -39,7 +44,7 @@
 
 @attrs.define(eq=False)
 class ReportExchange:
-    """Sends reports to the peers and processes theirs.
+    """Drives the control node and carries out what it decides.
 
     Parameters
     ----------
@@ -51,14 +56,15 @@
         Returns the list of VMs, or None.
     update_document : callable
         Called with a received configuration and its origin.
+    update_vm_list : callable
+        Called with a new list of VMs.
     on_change : callable
-        Called when a peer or a backend server starts or stops leaving, or a link is opened or
-        lost.
+        Called when a peer or a backend server starts or stops leaving.
     """
 
     vm_id: VmId
+    failure_domain: FailureDomain
     clock: Clock
-    tasks: TaskGroup
     links: LinkPool
     control: ControlPlane
     rate_limiter: SharedRateLimiter
@@ -67,16 +73,36 @@
     read_published: Callable[[], PublishedConfig | None]
     read_vm_list: Callable[[], VmList | None]
     update_document: Callable[[PublishedConfig, str], None]
+    update_vm_list: Callable[[VmList], None]
     on_change: Callable[[], None]
-    peer_states: PeerStates = attrs.field(factory=PeerStates)
     leaving_servers: LeavingServers = attrs.field(factory=LeavingServers)
-    _opened_ms: dict[Link, int] = attrs.field(factory=dict)
-    _cleaned_up_ms: int = 0
+    node: ControlNode = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.control.register(self._handle_report, PeerNews)
+        self.node = ControlNode(
+            self.vm_id,
+            self.failure_domain,
+            self.rate_limiter,
+            send=self.control.send,
+            send_document=self._send_document,
+            set_reading=self._set_reading,
+            on_list=lambda: self.update_vm_list(self.node.directory.make_list()),
+            on_states=self._handle_states,
+        )
+        self.control.register(
+            self._handle,
+            PeerNews,
+            Subscription,
+            EntryChanges,
+            MemberReport,
+            DomainNews,
+            RelayNews,
+        )
         self.control.register(self._handle_document_request, DocumentAsk)
         self.control.register(self._handle_document, PublishedDocument)
+        self.control.on_unreachable = lambda vm_id: self.node.note_unreachable(
+            self.clock.now_ms(), vm_id
+        )
 
     @property
     def version(self) -> int:
@@ -84,28 +110,28 @@
         published = self.read_published()
         return published.document.version if published is not None else 0
 
+    @property
+    def peer_states(self) -> PeerStates:
+        return self.node.peer_states
+
     def note_link_open(self, link: Link) -> None:
-        """Send a report to the new peer."""
+        """Tell a new peer if this daemon takes no calls."""
         assert link.peer is not None
-        self._opened_ms[link] = self.clock.now_ms()
-        self.on_change()
-        self.control.send(link.peer.vm_id, self._make_report())
+        if self.is_leaving():
+            self.control.send(link.peer.vm_id, self.node.make_peer_news())
 
     def note_link_closed(self, link: Link, reason: str) -> None:
         """Remove a link, and the state of its peer if no other link to it is open."""
-        self._opened_ms.pop(link, None)
         if link.peer is None or self.links.find(link.peer.vm_id) is not None:
             return
         _LOGGER.info("peer_lost", extra={"peer": link.peer.vm_id, "reason": reason})
-        self.peer_states.note_link_lost(link.peer.vm_id)
-        self.on_change()
+        self.node.note_link_lost(self.clock.now_ms(), link.peer.vm_id)
 
     def note_call(self, vm_id: VmId, *, was_reached: bool) -> None:
-        """Ignore whether a call reached a daemon: the state of its link is what counts."""
+        """Ignore whether a call reached a daemon: its relays tell whether it is silent."""
 
     def note_leaving(self, vm_id: VmId, is_leaving: bool) -> None:
-        if self.peer_states.note_leaving(self.clock.now_ms(), vm_id, is_leaving):
-            self._handle_leaving_change(vm_id, is_leaving)
+        self.node.note_leaving(self.clock.now_ms(), vm_id, is_leaving)
 
     def note_server_leaving(self, vm: Vm) -> None:
         self._note_process_leaving(vm.vm_id, vm.instance, vm.started_ms)
@@ -124,8 +150,9 @@
             self.on_change()
 
     def apply_list(self, vm_list: VmList) -> None:
-        """Record which processes leave by their entries, and which have been replaced."""
+        """Rank relays, and record which processes leave and which have been replaced."""
         self.leaving_servers.apply_list(vm_list)
+        self.node.apply_list(vm_list)
 
     def is_usable(self, vm_id: VmId) -> bool:
         """Return whether neither the daemon nor the backend server of a VM is leaving."""
@@ -133,53 +160,78 @@
             return False
         return not self.peer_states.is_leaving(vm_id)
 
-    def send_reports(self) -> None:
-        self.control.broadcast(self._make_report())
-
-    def dial_missing(self) -> None:
-        """Open links to listed VMs without one."""
-        for vm in self.read_vm_list() or ():
-            if vm.vm_id != self.vm_id and self.links.find(vm.vm_id) is None:
-                self.tasks.start_soon(self.links.obtain, vm)
+    def is_responsive(self, vm_id: VmId) -> bool:
+        """Return whether no relay reports a daemon as silent."""
+        return not self.peer_states.is_silent(vm_id)
+
+    def apply_store_changes(self, changes: EntryChanges) -> bool:
+        """Apply what was read from the store; return whether changes before it are missing."""
+        return self.node.apply_changes(self.clock.now_ms(), changes) is Applied.GAP
+
+    def note_store(self, *, is_reached: bool) -> None:
+        self.node.note_store(self.clock.now_ms(), is_reached=is_reached)
+
+    def note_document(self) -> None:
+        """Pass on the configuration that has come into force."""
+        self.node.note_document(self.version)
+
+    def announce_leaving(self) -> None:
+        """Tell every linked peer and the primary relay whether this daemon is leaving."""
+        self._update_node()
+        self.control.broadcast(self.node.make_peer_news())
+        self.node.report(self.clock.now_ms())
+
+    def handle_gap(self) -> None:
+        """Discard what is outdated after a pause of this process."""
+        self.node.reset(self.clock.now_ms())
+
+    def describe(self, now_ms: int) -> dict[str, object]:
+        """Return relays, members and the states that they report."""
+        return {
+            "relays": self.node.relays.subscribed(),
+            "is_relay": self.node.is_relay,
+            "reads": self.node.is_reading,
+            "subscribers": len(self.node.subscribers),
+            "reports": self.peer_states.describe(now_ms),
+        }
 
     async def run(self) -> None:
-        """Send reports, close silent links and dial missing ones, until cancelled."""
+        """Report to relays, and as a relay to others, until cancelled."""
         while True:
             await anyio.sleep(time_to_report(time.time()))
-            now_ms = self.clock.now_ms()
-            for link, opened_ms in list(self._opened_ms.items()):
-                if link.peer and self.peer_states.is_silent(now_ms, link.peer.vm_id, opened_ms):
-                    link.close("silent")
-            self.send_reports()
-            if now_ms - self._cleaned_up_ms >= CLEANUP_INTERVAL_MS:
-                self._cleaned_up_ms = now_ms
-                self.rate_limiter.drop_stale_reports(now_ms)
-                self.dial_missing()
-
-    def _make_report(self) -> PeerNews:
-        return PeerNews(
-            self.version, self.is_leaving(), self.rate_limiter.report(self.clock.now_ms())
-        )
-
-    def _handle_leaving_change(self, vm_id: VmId, is_leaving: bool) -> None:
-        _LOGGER.info("peer_leaving", extra={"peer": vm_id, "leaving": is_leaving})
+            self._update_node()
+            self.node.report(self.clock.now_ms())
+            if self.node.is_relay:
+                await anyio.sleep(SUMMARY_OFFSET_MS / _MS_PER_S)
+                self.node.exchange_domains(self.clock.now_ms())
+                await anyio.sleep(BROADCAST_OFFSET_MS / _MS_PER_S)
+                self.node.broadcast(self.clock.now_ms())
+
+    def _handle_states(self) -> None:
+        _LOGGER.info("peers_changed", extra=self.peer_states.summarize())
         self.on_change()
 
-    def _handle_report(self, sender: VmId, incarnation: int, message: PeerNews) -> None:
-        now_ms = self.clock.now_ms()
-        if self.peer_states.record_report(now_ms, sender, message):
-            self._handle_leaving_change(sender, message.leaving)
-        self.rate_limiter.note_report(now_ms, sender, incarnation, message.uses)
-        if message.config_version > self.version:
-            self.control.send(sender, DocumentAsk(self.version))
+    def _set_reading(self, is_reading: bool) -> None:
+        _LOGGER.info("platform_reading", extra={"on": is_reading, "relay": self.node.is_relay})
+        self.source.set_reading(is_reading)
+
+    def _update_node(self) -> None:
+        self.node.is_leaving = self.is_leaving()
+
+    def _handle(self, sender: VmId, _incarnation: int, message: object) -> None:
+        self.node.handle(self.clock.now_ms(), sender, message)
+
+    def _send_document(self, vm_id: VmId) -> None:
+        published = self.read_published()
+        if published is not None:
+            document = PublishedDocument(published.document.version, published.content)
+            self.control.send(vm_id, document)
 
     def _handle_document_request(
         self, sender: VmId, _incarnation: int, request: DocumentAsk
     ) -> None:
-        published = self.read_published()
-        if published is not None and published.document.version > request.above:
-            reply = PublishedDocument(published.document.version, published.content)
-            self.control.send(sender, reply)
+        if self.version > request.above:
+            self._send_document(sender)
 
     def _handle_document(self, sender: VmId, _incarnation: int, reply: PublishedDocument) -> None:
         if reply.version <= self.version:
--- a/libs/daemon/src/wisteriaproxy/mesh/peers.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/peers.py
@@ -4,66 +4,91 @@
 
 from wisteria_core import VmId
 
-from .const import LINK_SILENCE_MS
-from .messages import PeerNews
+from .const import LEAVING_HOLD_MS, RELAY_SILENCE_MS
 
 
-@attrs.define
-class _Peer:
-    """Last report of a daemon."""
+@attrs.frozen
+class _RelayView:
+    """Daemons that one relay reports as leaving or silent."""
 
-    leaving: bool
-    last_report_ms: int
+    leaving: frozenset[VmId]
+    silent: frozenset[VmId]
+    heard_ms: int
 
 
 @attrs.define
 class PeerStates:
     """States of the other daemons, without input or output.
 
-    The list of VMs gives the candidates for a call; leaving daemons are excluded by these states.
+    The list of VMs gives the candidates for a call; leaving daemons are excluded by these states,
+    and silent ones come last. A silent daemon may be working: calls to it are not given up.
     """
 
-    _peers: dict[VmId, _Peer] = attrs.field(factory=dict)
-
-    def record_report(self, now_ms: int, vm_id: VmId, message: PeerNews) -> bool:
-        """Record a report; return whether the daemon has started or stopped leaving."""
-        known = self._peers.get(vm_id)
-        was_leaving = known is not None and known.leaving
-        self._peers[vm_id] = _Peer(message.leaving, now_ms)
-        return was_leaving != message.leaving
+    _told_ms: dict[VmId, int] = attrs.field(factory=dict)
+    _views: dict[VmId, _RelayView] = attrs.field(factory=dict)
 
     def note_leaving(self, now_ms: int, vm_id: VmId, is_leaving: bool) -> bool:
-        """Record the flag of a call's answer; return whether it changed."""
-        known = self._peers.get(vm_id)
-        if known is None:
-            known = self._peers[vm_id] = _Peer(False, now_ms)
-        has_changed = known.leaving != is_leaving
-        known.leaving = is_leaving
-        return has_changed
+        """Record what a daemon says of itself; return whether it is news."""
+        was_leaving = self.is_leaving(vm_id)
+        if is_leaving:
+            self._told_ms[vm_id] = now_ms
+        else:
+            self._told_ms.pop(vm_id, None)
+        return was_leaving != self.is_leaving(vm_id)
 
     def note_link_lost(self, vm_id: VmId) -> None:
-        """Drop the state: the next incarnation is not leaving."""
-        self._peers.pop(vm_id, None)
+        """Drop what a daemon said of itself: its next incarnation is not leaving."""
+        self._told_ms.pop(vm_id, None)
+
+    def note_view(
+        self, now_ms: int, relay: VmId, leaving: frozenset[VmId], silent: frozenset[VmId]
+    ) -> bool:
+        """Record what a relay reports; return whether the states have changed."""
+        known = self._views.get(relay)
+        self._views[relay] = _RelayView(leaving, silent, now_ms)
+        if known is None:
+            return bool(leaving or silent)
+        return known.leaving != leaving or known.silent != silent
+
+    def expire(self, now_ms: int) -> bool:
+        """Drop what was last told long ago; return whether states may have changed."""
+        views = {
+            relay: view
+            for relay, view in self._views.items()
+            if now_ms - view.heard_ms <= RELAY_SILENCE_MS
+        }
+        told = {
+            vm_id: told_ms
+            for vm_id, told_ms in self._told_ms.items()
+            if now_ms - told_ms <= LEAVING_HOLD_MS
+        }
+        has_changed = len(views) != len(self._views) or len(told) != len(self._told_ms)
+        self._views, self._told_ms = views, told
+        return has_changed
 
     def is_leaving(self, vm_id: VmId) -> bool:
         """Return whether a daemon takes no new calls."""
-        known = self._peers.get(vm_id)
-        return known is not None and known.leaving
+        return vm_id in self._told_ms or any(vm_id in view.leaving for view in self._views.values())
 
-    def is_silent(self, now_ms: int, vm_id: VmId, opened_ms: int) -> bool:
-        """Return whether no report has arrived over an open link for too long.
+    def is_silent(self, vm_id: VmId) -> bool:
+        """Return whether a relay has not heard of a daemon for a while."""
+        return any(vm_id in view.silent for view in self._views.values())
 
-        Parameters
-        ----------
-        opened_ms : int
-            When the link was opened.
-        """
-        known = self._peers.get(vm_id)
-        last_report_ms = max(opened_ms, known.last_report_ms if known is not None else 0)
-        return now_ms - last_report_ms > LINK_SILENCE_MS
+    def summarize(self) -> dict[str, list[VmId]]:
+        """Return the daemons that are leaving or silent, according to any source."""
+        views = self._views.values()
+        return {
+            "leaving": sorted({*self._told_ms}.union(*(view.leaving for view in views))),
+            "silent": sorted(set[VmId]().union(*(view.silent for view in views))),
+        }
 
     def describe(self, now_ms: int) -> dict[str, dict[str, object]]:
+        """Return the relays that report to this daemon, with what they report."""
         return {
-            vm_id: {"leaving": peer.leaving, "age_ms": now_ms - peer.last_report_ms}
-            for vm_id, peer in self._peers.items()
+            relay: {
+                "age_ms": now_ms - view.heard_ms,
+                "leaving": sorted(view.leaving),
+                "silent": sorted(view.silent),
+            }
+            for relay, view in self._views.items()
         }
--- a/libs/daemon/src/wisteriaproxy/mesh/roster.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/roster.py
@@ -4,7 +4,7 @@
 
 from wisteria_core import VmId, VmList
 
-from .entries import ServerEntry
+from .entries import ServerEntry, StorePosition
 
 RECOVERY_GRACE_MS = 2_500
 """Time after a store outage within which every live server has registered again: the platform
@@ -79,10 +79,23 @@
         self._entries[entry.name] = entry
         self._retained.pop(entry.name, None)
 
-    def remove(self, now_ms: int, name: str) -> None:
-        """Remove an entry, or retain it within the grace period after an outage."""
+    def remove(self, now_ms: int, name: str, position: StorePosition | None = None) -> None:
+        """Remove an entry, or retain it within the grace period after an outage.
+
+        Parameters
+        ----------
+        position : StorePosition, optional
+            Change that removed it. An entry that was written later stays.
+        """
+        known = self._entries.get(name)
+        if known is not None and position is not None and known.position > position:
+            return
         self._remove(name, _find_grace_end(now_ms, self._recovered_ms))
 
+    def entries(self) -> tuple[ServerEntry, ...]:
+        """Return the entries that have not been removed."""
+        return tuple(self._entries.values())
+
     def replace(self, now_ms: int, entries: list[ServerEntry]) -> None:
         """Replace all entries by those of a complete read."""
         names = {entry.name for entry in entries}
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -6,12 +6,13 @@
 import attrs
 
 from wisteria_config import Document
-from wisteria_core import Clock, VmList
+from wisteria_core import Clock
 from wisteria_limits import AccountRate
 
 from ..calls import RunningCall
 from ..dialect import BackendDialect, CallerDialect
 from ..metrics import Metrics
+from .directory import EntryChanges
 from .settings import MeshSettings
 
 
@@ -36,15 +37,21 @@
     def update_document(self, published: PublishedConfig, origin: str) -> None:
         """Handle a configuration, which may be known already or older."""
 
-    def update_vm_list(self, vm_list: VmList) -> None:
-        """Handle the current list of VMs."""
+    def update_entries(self, changes: EntryChanges) -> bool:
+        """Handle entries of backend servers; return whether changes before them are missing."""
+
+    def note_store(self, *, is_reached: bool) -> None:
+        """Handle whether a read has succeeded."""
 
 
 class Source(Protocol):
     """Reads the configuration and the list of VMs from the platform."""
 
     async def run(self, listener: Listener) -> None:
-        """Read and watch until cancelled."""
+        """Read the servers once, and everything while reading is on, until cancelled."""
+
+    def set_reading(self, is_reading: bool) -> None:
+        """Begin or end to watch; others tell this daemon what changes while it is off."""
 
     def decode_document(self, content: bytes) -> PublishedConfig | None:
         """Return the configuration in `content`, or None if it is invalid."""
--- a/libs/limits/src/wisteria_limits/__init__.py
+++ b/libs/limits/src/wisteria_limits/__init__.py
@@ -21,14 +21,14 @@
     Step,
 )
 from .owner import SliceOwner
-from .shares import AccountUse, SharedRateConfig, SharedRateLimiter
+from .shares import AccountDelta, SharedRateConfig, SharedRateLimiter
 from .slices import slices_for
 
 __all__ = [
     "SLICES_PER_DOMAIN",
     "AccountBudget",
+    "AccountDelta",
     "AccountRate",
-    "AccountUse",
     "Admitted",
     "BorrowItem",
     "BorrowReply",
--- a/libs/limits/src/wisteria_limits/shares.py
+++ b/libs/limits/src/wisteria_limits/shares.py
@@ -1,6 +1,7 @@
 """Rate limiter that divides account rates by demand, from counts exchanged by daemons."""
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -9,7 +10,8 @@
 from .models import AccountRate, Admitted
 
 _MS_PER_S = 1_000
-_MILLI = 1_000
+NEGLIGIBLE_DEMAND = 0.01
+"""Decayed count of calls below which an account has no demand."""
 
 
 @attrs.frozen
@@ -33,10 +35,9 @@
     debt_fraction : float
         Fraction of its share that a daemon uses while the fleet has exceeded the account's rate.
     heard_ms : int
-        Age up to which a peer's report counts as recent, in milliseconds.
-    report_retention_ms : int
-        Time for which a peer's last report is kept, in milliseconds. A peer without new reports
-        may be partitioned and still using its share.
+        Age up to which the sums of the fleet count as recent, in milliseconds.
+    lag_ms : int
+        Mean time from a call until the sums contain it, in milliseconds.
     max_retry_after_ms : int
         Maximum retry delay given to refused callers, in milliseconds.
     overage : float
@@ -52,39 +53,30 @@
     even_fraction: float = 0.1
     borrow_factor: float = 3.0
     debt_fraction: float = 0.8
-    heard_ms: int = 1_000
-    report_retention_ms: int = 30_000
+    heard_ms: int = 1_500
+    lag_ms: int = 400
     max_retry_after_ms: int = 5_000
     overage: float = 0.0
     slack: float = 0.0
 
 
 @attrs.frozen
-class AccountUse:
-    """Demand and admissions of one account at one daemon, as reported to its peers.
+class AccountDelta:
+    """Calls of one account since the last report, of one daemon or summed over several.
 
     Parameters
     ----------
-    demand_milli : int
-        Offered milli-calls per second.
+    offered : int
+        Calls that arrived.
     admitted : int
-        Calls admitted since the daemon started.
+        Calls that were admitted, less those refunded; it may be negative.
     """
 
     account: str
-    demand_milli: int
+    offered: int
     admitted: int
 
 
-@attrs.define
-class _PeerReport:
-    """Last report received from one peer."""
-
-    incarnation: int
-    uses: dict[str, AccountUse]
-    heard_ms: int
-
-
 @attrs.define
 class _Account:
     """State of one account at this daemon.
@@ -95,12 +87,15 @@
         Estimated calls that the whole fleet may admit now; negative after too many.
     own_level : float
         Calls that this daemon may admit from its own share.
-    demand : float
-        Exponentially decayed count of offered calls; a rate when divided by the time constant.
+    offered, admitted : int
+        Calls since the last report.
+    sent_offered, sent_admitted : int
+        Reported calls that the sums of the fleet have not contained yet.
+    own_demand, fleet_demand : float
+        Exponentially decayed counts of offered calls in those sums, of this daemon and of all; a
+        rate when divided by the time constant.
     borrowed : int
-        Calls admitted beyond the own share since the last report to the peers.
-    reported : float
-        Offered calls per second as last reported to the peers.
+        Calls admitted beyond the own share since the last report.
     last_retry_at_ms : int
         Latest retry time given to a refused caller.
     """
@@ -110,11 +105,14 @@
     share: float
     fleet_level: float = 0.0
     own_level: float = 1.0
+    offered: int = 0
     admitted: int = 0
-    demand: float = 0.0
+    sent_offered: int = 0
+    sent_admitted: int = 0
+    own_demand: float = 0.0
+    fleet_demand: float = 0.0
     demand_ms: int = 0
     borrowed: int = 0
-    reported: float = 0.0
     last_retry_at_ms: int = 0
 
 
@@ -122,17 +120,19 @@
 class SharedRateLimiter:
     """Decentralized rate limiter for accounts whose rates are shared by all daemons.
 
-    Daemons exchange counts of offered and admitted calls several times per second, and each
-    estimates the level of a fleet-wide token bucket. While it is high, a daemon admits all
-    calls; when low, only from its own share, mostly proportional to its part of the demand.
-    Admission needs no message to another daemon, and a partitioned daemon keeps its share.
+    Daemons report offered and admitted calls several times per second and receive their sums over
+    the fleet, from which each estimates the level of a fleet-wide token bucket. While it is high,
+    a daemon admits all calls; when low, only from its own share, mostly proportional to its part
+    of the demand. Admission needs no message to another daemon, and a partitioned daemon keeps its
+    share. The state does not grow with the fleet.
     """
 
     vm_id: VmId
     config: SharedRateConfig = attrs.field(factory=SharedRateConfig)
     _accounts: dict[str, _Account] = attrs.field(init=False, factory=dict)
-    _reports: dict[VmId, _PeerReport] = attrs.field(init=False, factory=dict)
     _daemons: int = attrs.field(init=False, default=1)
+    _heard_ms: int | None = attrs.field(init=False, default=None)
+    _heard_daemons: int = attrs.field(init=False, default=0)
 
     def set_daemon_count(self, count: int) -> None:
         """Set the number of daemons that admit calls, including this one."""
@@ -159,10 +159,10 @@
         account = self._accounts.get(name)
         if account is None:
             return Admitted(name)
-        self._note_demand(now_ms, account)
-        self._update_share(now_ms, name, account)
+        account.offered += 1
+        self._update_share(now_ms, account)
         self._refill(now_ms, account)
-        has_spare_tokens = self._has_spare_tokens(now_ms, name, account)
+        has_spare_tokens = self._has_spare_tokens(now_ms, account)
         if not has_spare_tokens and account.own_level < 1.0:
             return Refusal(
                 ResultCode.RATE_EXCEEDED,
@@ -188,97 +188,102 @@
         account.fleet_level = min(account.fleet_level + 1.0, self._burst(account))
         account.own_level = min(account.own_level + 1.0, self._max_own_level(account))
 
-    def report(self, now_ms: int) -> tuple[AccountUse, ...]:
-        """Return the report that the caller must send to all peers now."""
-        for account in self._accounts.values():
+    def take_report(self, now_ms: int) -> tuple[AccountDelta, ...]:
+        """Return the calls since the last report, which the caller must send now."""
+        report = []
+        for name, account in self._accounts.items():
             account.borrowed = 0
-            account.reported = self._demand_at(now_ms, account)
-        return tuple(
-            AccountUse(name, int(account.reported * _MILLI), account.admitted)
-            for name, account in self._accounts.items()
-        )
-
-    def note_report(
-        self, now_ms: int, vm_id: VmId, incarnation: int, uses: tuple[AccountUse, ...]
-    ) -> None:
-        """Apply a peer's report. Counts are cumulative, so the next report replaces a lost one."""
-        earlier = self._reports.get(vm_id)
-        is_same = earlier is not None and earlier.incarnation == incarnation
-        self._reports[vm_id] = _PeerReport(incarnation, {one.account: one for one in uses}, now_ms)
+            if account.offered or account.admitted:
+                report.append(AccountDelta(name, account.offered, account.admitted))
+                account.sent_offered += account.offered
+                account.sent_admitted += account.admitted
+                account.offered = account.admitted = 0
+        return tuple(report)
+
+    def forget_sent(self) -> None:
+        """Forget the reported calls that no sum contains yet: their report may be lost."""
+        for account in self._accounts.values():
+            account.sent_offered = account.sent_admitted = 0
+
+    def apply_fleet(self, now_ms: int, daemons: int, uses: Iterable[AccountDelta]) -> None:
+        """Apply calls summed over the fleet; each reported call is in exactly one sum.
+
+        Parameters
+        ----------
+        daemons : int
+            Number of daemons whose reports are summed; 0 if the sender doesn't know.
+        """
+        if daemons:
+            self._heard_ms, self._heard_daemons = now_ms, daemons
         for use in uses:
             account = self._accounts.get(use.account)
-            if account is None or earlier is None or not is_same:
+            if account is None:
                 continue
-            before = earlier.uses.get(use.account)
-            admitted = use.admitted - (before.admitted if before is not None else 0)
+            own_offered = min(account.sent_offered, use.offered)
+            own_admitted = _common_part(account.sent_admitted, use.admitted)
+            account.sent_offered -= own_offered
+            account.sent_admitted -= own_admitted
+            self._decay_demand(now_ms, account)
+            account.own_demand += own_offered
+            account.fleet_demand += use.offered
             self._refill(now_ms, account)
-            account.fleet_level = min(account.fleet_level - admitted, self._burst(account))
-
-    def drop_stale_reports(self, now_ms: int) -> None:
-        """Drop reports past their retention time; call about once per second."""
-        oldest_ms = now_ms - self.config.report_retention_ms
-        self._reports = {
-            vm: known for vm, known in self._reports.items() if known.heard_ms > oldest_ms
-        }
+            level = account.fleet_level - (use.admitted - own_admitted)
+            account.fleet_level = min(level, self._burst(account))
 
     def describe(self, now_ms: int) -> dict[str, dict[str, float]]:
-        """Return share, levels and demand (in calls/s) of each account."""
+        """Return share, levels and fleet demand (in calls/s) of each account."""
         return {
             name: {
                 "share": round(account.share, 4),
                 "own_level": round(account.own_level, 2),
                 "fleet_level": round(account.fleet_level, 2),
-                "demand_per_s": round(self._demand_at(now_ms, account), 2),
+                "demand_per_s": round(self._fleet_demand_per_s(now_ms, account), 2),
             }
             for name, account in self._accounts.items()
         }
 
-    def _note_demand(self, now_ms: int, account: _Account) -> None:
-        account.demand = account.demand * self._decay(now_ms, account) + 1.0
+    def _decay_demand(self, now_ms: int, account: _Account) -> None:
+        decay = math.exp(-(now_ms - account.demand_ms) / self.config.smoothing_ms)
+        account.own_demand *= decay
+        account.fleet_demand *= decay
         account.demand_ms = now_ms
 
-    def _decay(self, now_ms: int, account: _Account) -> float:
-        return math.exp(-(now_ms - account.demand_ms) / self.config.smoothing_ms)
-
-    def _demand_at(self, now_ms: int, account: _Account) -> float:
-        """Return the offered calls per second."""
-        decayed = account.demand * self._decay(now_ms, account)
-        return decayed * _MS_PER_S / self.config.smoothing_ms
-
-    def _update_share(self, now_ms: int, name: str, account: _Account) -> None:
-        # the own demand as last reported: comparing current demand with the older reports of
-        # the peers would make every daemon overestimate its share in a surge
-        own = account.reported
-        others = sum(
-            known.uses[name].demand_milli for known in self._reports.values() if name in known.uses
-        )
-        total = own + others / _MILLI
-        by_demand = own / total if total > 0 else 1.0 / self._daemons
+    def _fleet_demand_per_s(self, now_ms: int, account: _Account) -> float:
+        """Return the calls per second that all daemons were offered."""
+        self._decay_demand(now_ms, account)
+        return account.fleet_demand * _MS_PER_S / self.config.smoothing_ms
+
+    def _update_share(self, now_ms: int, account: _Account) -> None:
+        # both from the same sums: comparing the own present demand with the others' earlier one
+        # would make every daemon overestimate its share in a surge
+        self._decay_demand(now_ms, account)
+        has_demand = account.fleet_demand > NEGLIGIBLE_DEMAND
+        by_demand = account.own_demand / account.fleet_demand if has_demand else 1 / self._daemons
+        # daemons that the sums don't cover may have demand too
+        by_demand *= min(1.0, self._heard_daemons / self._daemons) if self._heard_daemons else 1.0
         share = self.config.demand_fraction * by_demand + self.config.even_fraction / self._daemons
-        # without recent reports the demand of the peers may have grown, so don't raise the share
+        # without recent sums the demand of the others may have grown, so don't raise the share
         account.share = share if self._has_recent_majority(now_ms) else min(account.share, share)
 
     def _has_recent_majority(self, now_ms: int) -> bool:
-        """Return whether at least half of the peers have sent a recent report."""
-        oldest_ms = now_ms - self.config.heard_ms
-        known = sum(1 for one in self._reports.values() if one.heard_ms >= oldest_ms)
-        return 2 * known >= self._daemons - 1
+        """Return whether recent sums cover more than half of the daemons."""
+        if self._daemons <= 1:
+            return True
+        is_recent = self._heard_ms is not None and now_ms - self._heard_ms <= self.config.heard_ms
+        return is_recent and 2 * self._heard_daemons > self._daemons
 
-    def _has_spare_tokens(self, now_ms: int, name: str, account: _Account) -> bool:
+    def _has_spare_tokens(self, now_ms: int, account: _Account) -> bool:
         """Return whether the fleet has tokens left beyond the reserve for unreported admissions."""
-        spare = account.fleet_level - self._reserve(now_ms, name, account)
+        spare = account.fleet_level - self._reserve(now_ms, account)
         return account.borrowed < spare * self.config.borrow_factor / self._daemons
 
-    def _reserve(self, now_ms: int, name: str, account: _Account) -> float:
-        """Return the level kept for calls that peers may have admitted since their reports."""
-        unreported = 0.0
-        for known in self._reports.values():
-            use = known.uses.get(name)
-            if use is not None:
-                age_ms = min(now_ms - known.heard_ms, self.config.heard_ms)
-                unreported += use.demand_milli / _MILLI * age_ms / _MS_PER_S
-        if not self._has_recent_majority(now_ms) and self._daemons > 1:
+    def _reserve(self, now_ms: int, account: _Account) -> float:
+        """Return the level kept for calls that others may have admitted since the last sums."""
+        if not self._has_recent_majority(now_ms):
             return math.inf
+        age_ms = min(now_ms - (self._heard_ms or now_ms), self.config.heard_ms)
+        unreported_ms = age_ms + self.config.lag_ms
+        unreported = self._fleet_demand_per_s(now_ms, account) * unreported_ms / _MS_PER_S
         return self.config.reserve_fraction * self._burst(account) + unreported
 
     def _refill(self, now_ms: int, account: _Account) -> None:
@@ -308,3 +313,10 @@
         latest_ms = now_ms + self.config.max_retry_after_ms
         account.last_retry_at_ms = min(account.last_retry_at_ms, latest_ms)
         return max(1, account.last_retry_at_ms - now_ms)
+
+
+def _common_part(sent: int, summed: int) -> int:
+    """Return the part of a sum that may be the reported calls; both may be negative."""
+    if sent > 0:
+        return max(0, min(sent, summed))
+    return min(0, max(sent, summed))
--- a/tests/limits/shares_fleet.py
+++ b/tests/limits/shares_fleet.py
@@ -7,10 +7,11 @@
 import attrs
 
 from wisteria_core import Refusal, VmId
-from wisteria_limits import AccountRate, AccountUse, SharedRateConfig, SharedRateLimiter
+from wisteria_limits import AccountDelta, AccountRate, SharedRateConfig, SharedRateLimiter
 
 ACCOUNT = "a"
 REPORT_MS = 400
+HEARD_MS = 1_000
 STEP_MS = 5
 
 
@@ -18,6 +19,9 @@
 class SharesFleet:
     """Simulated daemons and network, with the times of offered, admitted and refused calls.
 
+    Reports reach a summing relay of each daemon; the sum follows to the daemon itself. Summing per
+    daemon lets any two of them be partitioned.
+
     Parameters
     ----------
     demand : callable
@@ -25,7 +29,7 @@
     weights : list of float
         Relative share of the demand at each daemon.
     lag_ms : int
-        Network delay of each report.
+        Delay from a report until the daemons have it in their sum.
     is_partitioned : callable
         Returns whether two daemons are partitioned from each other at a given time.
     """
@@ -43,13 +47,13 @@
     refused: list[int] = attrs.field(factory=list)
     _random: Random = attrs.field(init=False)
     _daemons: list[SharedRateLimiter] = attrs.field(init=False)
-    _incarnations: list[int] = attrs.field(init=False)
-    _pending: deque[tuple[int, int, int, int, tuple[AccountUse, ...]]] = attrs.field(factory=deque)
+    _pending: deque[tuple[int, int, int, tuple[AccountDelta, ...]]] = attrs.field(factory=deque)
+    _heard_ms: list[dict[int, int]] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._random = Random(self.seed)
         self._daemons = [self._make(index) for index in range(len(self.weights))]
-        self._incarnations = [1] * len(self.weights)
+        self._heard_ms = [{} for _ in self.weights]
 
     def run(self, until_ms: int) -> None:
         """Simulate up to the given time."""
@@ -63,8 +67,8 @@
 
     def restart(self, index: int) -> None:
         """Restart a daemon, losing its state."""
-        self._incarnations[index] += 1
         self._daemons[index] = self._make(index)
+        self._heard_ms[index] = {}
 
     def count_max(self, moments: list[int], window_ms: int) -> int:
         """Return the maximum number of events in any window of the given length."""
@@ -99,13 +103,15 @@
         return count
 
     def _report(self, index: int) -> None:
-        report = self._daemons[index].report(self.now_ms)
+        report = self._daemons[index].take_report(self.now_ms)
         for other in range(len(self._daemons)):
-            if other != index and not self.is_partitioned(self.now_ms, index, other):
-                arrival = self.now_ms + self.lag_ms
-                self._pending.append((arrival, index, other, self._incarnations[index], report))
+            if not self.is_partitioned(self.now_ms, index, other):
+                self._pending.append((self.now_ms + self.lag_ms, index, other, report))
 
     def _deliver(self) -> None:
         while self._pending and self._pending[0][0] <= self.now_ms:
-            _, sender, receiver, incarnation, report = self._pending.popleft()
-            self._daemons[receiver].note_report(self.now_ms, VmId(str(sender)), incarnation, report)
+            _, sender, receiver, report = self._pending.popleft()
+            heard_ms = self._heard_ms[receiver]
+            heard_ms[sender] = self.now_ms
+            recent = sum(1 for one in heard_ms.values() if self.now_ms - one <= HEARD_MS)
+            self._daemons[receiver].apply_fleet(self.now_ms, recent, report)
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -77,4 +77,4 @@
     daemon.apply_rates(1_000, {})
     for _ in range(1_000):
         daemon.admit(1_000, ACCOUNT)
-    assert daemon.report(1_000) == ()
+    assert daemon.take_report(1_000) == ()
