State what silence of a daemon means, and test what earlier versions hear

Renamed and explained for a reader: the relay offered to a daemon, its two times, the contacts of a relay. New test: repeated news of a peer, as earlier versions send them, are answered, others are not.

--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -22,7 +22,8 @@
     is_usable : callable
         Returns whether a VM is reachable and not leaving, according to membership.
     is_connected : callable
-        Returns whether a link to a VM is open.
+        Returns whether a link to a VM is open or, where links are opened by calls, whether its
+        daemon reports; a VM for which it is false is chosen less.
     retry_slack : float or None
         Retries allowed on top of the retry ratio, divided among all daemons of the list; None
         gives each daemon the default burst of `RetryConfig`.
--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -48,7 +48,7 @@
 """Time without the platform after which a relay says so: covers a reset watch."""
 
 MEMBER_SILENCE_MS = 2_000
-"""Time without a report after which a daemon counts as silent and is called last."""
+"""Time without a report after which a daemon counts as silent and is chosen less."""
 
 MEMBER_RETENTION_MS = 10_000
 """Time without a report after which a relay forgets a member."""
@@ -56,11 +56,11 @@
 LEAVING_HOLD_MS = 3_000
 """Time for which an answer that said its daemon is leaving counts, unless relays confirm it."""
 
-CONTACTS_MAX = 4
-"""Daemons that a relay contacts in one such interval."""
-
 CLEANUP_INTERVAL_MS = 1_000
-"""Interval of dropping what has expired and of contacting members without a relay."""
+"""Interval of dropping what has expired and of contacting daemons without a relay."""
+
+CONTACTS_MAX = 4
+"""Daemons that a relay contacts in one cleanup interval."""
 
 ANSWER_GRACE_MS = 80
 """Time to wait past a deadline for the serving daemon's answer: a few round trips between failure
--- a/libs/daemon/src/wisteriaproxy/mesh/peers.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/peers.py
@@ -21,7 +21,7 @@
     """States of the other daemons, without input or output.
 
     The list of VMs gives the candidates for a call; leaving daemons are excluded by these states,
-    and silent ones come last. A silent daemon may be working: calls to it are not given up.
+    and silent ones are chosen less. A silent daemon may be working: calls to it are not given up.
     """
 
     _told_ms: dict[VmId, int] = attrs.field(factory=dict)
--- a/libs/daemon/src/wisteriaproxy/mesh/relays.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/relays.py
@@ -61,6 +61,10 @@
     ----------
     includes_self : bool
         Whether this daemon is one of its own relays.
+    _offered : VmId or None
+        Relay that has contacted this daemon, which may have no list to rank.
+    _useful_ms, _heard_ms : int or None
+        When a relay that reaches the platform was last known, and when any was last heard.
     """
 
     vm_id: VmId
@@ -70,7 +74,7 @@
     _ranking: list[VmId] = attrs.field(factory=list)
     _relays: dict[VmId, _Relay] = attrs.field(factory=dict)
     _failed_until_ms: dict[VmId, int] = attrs.field(factory=dict)
-    _extra: VmId | None = None
+    _offered: VmId | None = None
     _useful_ms: int | None = None
     _heard_ms: int | None = None
 
@@ -91,7 +95,7 @@
 
     def note_offer(self, vm_id: VmId) -> None:
         """Record that a relay has contacted this daemon, which may know no other."""
-        self._extra = vm_id
+        self._offered = vm_id
 
     def note_news(self, now_ms: int, vm_id: VmId, is_reading: bool, outage_ms: int) -> None:
         """Record news of a relay; those of relays not subscribed to are ignored."""
@@ -193,8 +197,8 @@
         )
 
     def _candidates(self) -> list[VmId]:
-        if self._extra is not None and self._extra not in self._ranking:
-            return [*self._ranking, self._extra]
+        if self._offered is not None and self._offered not in self._ranking:
+            return [*self._ranking, self._offered]
         return self._ranking
 
     def _fail(self, now_ms: int, vm_id: VmId) -> None:
--- a/libs/routing/src/wisteria_routing/config.py
+++ b/libs/routing/src/wisteria_routing/config.py
@@ -37,7 +37,7 @@
     slowness_half_life_ms : int
         Time without answers in which the slowness of a backend server moves halfway back to 1.
     connect_penalty : float
-        Load added for a backend server to which no connection is open.
+        Load added for a backend server whose VM is not connected.
     max_in_flight : int
         Maximum calls of this daemon in flight at one backend server.
     error_smoothing : float
--- a/libs/routing/src/wisteria_routing/models.py
+++ b/libs/routing/src/wisteria_routing/models.py
@@ -27,7 +27,8 @@
     usable : bool
         Whether membership considers the VM reachable and not leaving.
     connected : bool
-        Whether a connection to the VM is open; see `LoadBalancerConfig.connect_penalty`.
+        Whether the VM is connected, as far as the daemon knows; see
+        `LoadBalancerConfig.connect_penalty`.
     """
 
     vm_id: VmId
--- a/tests/wisteriaproxy/test_mesh_control_traffic.py
+++ b/tests/wisteriaproxy/test_mesh_control_traffic.py
@@ -4,6 +4,7 @@
 
 from wisteria_core import VmId
 from wisteriaproxy.mesh.const import RELAYS_WANTED
+from wisteriaproxy.mesh.messages import PeerNews
 
 from .control_fleet import ACCOUNT, DOMAINS, ControlFleet
 
@@ -144,3 +145,19 @@
     fleet.run(1_000)
     others = [one.node for vm_id, one in fleet.daemons.items() if vm_id != leaving]
     assert all(node.peer_states.is_leaving(leaving) for node in others)
+
+
+# guards against daemons of the earlier version, which close a link on which they hear no news
+def test_news_that_repeat_are_answered_and_others_are_not() -> None:
+    fleet = settle(30)
+    sender, target = VmId("10.0.0.7"), VmId("10.0.0.8")
+    node = fleet.daemons[target].node
+    before = fleet.sent["PeerNews"]
+    node.handle(fleet.now_ms, sender, PeerNews(0, leaving=False))
+    assert fleet.sent["PeerNews"] == before
+    node.handle(fleet.now_ms, sender, PeerNews(0, leaving=False))
+    node.handle(fleet.now_ms, sender, PeerNews(0, leaving=False))
+    assert fleet.sent["PeerNews"] == before + 2
+    node.handle(fleet.now_ms, sender, PeerNews(0, leaving=True))
+    assert fleet.sent["PeerNews"] == before + 2
+    assert node.peer_states.is_leaving(sender)
