Send nothing to the backend servers of evacuated failure domains

Change: evacuations are read with the configuration, kept by position and epoch of the store, and passed on by relays ahead of the rest of what a subscriber is sent. Load balancers pass the servers over and let them return through a slow start; the daemon beside a server refuses new and queued calls as not run, and the sender moves such a call to another server without using up a retry. An evacuation that a restored copy lacks stays in force for a grace period. A daemon whose relays pass on none (an earlier version) reads the store itself.

Ruled out: telling the server as leaving in messages (final for a process, and relays of whole domains would be skipped); a new result code (earlier versions close the link on an unknown one).

--- a/libs/daemon/src/wisteriaproxy/audit.py
+++ b/libs/daemon/src/wisteriaproxy/audit.py
@@ -13,7 +13,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-Kind = Literal["configuration", "slot", "membership", "daemon"]
+Kind = Literal["configuration", "slot", "membership", "daemon", "evacuation"]
 Outcome = Literal["accepted", "refused", "acquired", "released", "changed"]
 
 
@@ -26,9 +26,9 @@
     at_utc : str
         Time in UTC, to the millisecond.
     kind : str
-        Category: ``configuration``, ``slot``, ``membership`` or ``daemon``.
+        Category: ``configuration``, ``slot``, ``membership``, ``daemon`` or ``evacuation``.
     subject : str
-        What changed: the document, the name of a slot or a VM.
+        What changed: the document, the name of a slot, a VM or a failure domain.
     from_version, to_version : int or None
         Version before and after the change, or term for a slot; None if there is none.
     outcome : str
--- a/libs/daemon/src/wisteriaproxy/control/control.capnp
+++ b/libs/daemon/src/wisteriaproxy/control/control.capnp
@@ -110,6 +110,12 @@
   removed @4 :List(RemovedEntry);
 }
 
+struct Evacuations {
+  epoch @0 :Int64;
+  revision @1 :Int64;
+  domains @2 :List(Text);
+}
+
 struct Farewell {
   listVersion @0 :Int64;
   grants @1 :List(SlotGrant);
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -27,6 +27,8 @@
     retry_slack : float or None
         Retries allowed on top of the retry ratio, divided among all daemons of the list; None
         gives each daemon the default burst of `RetryConfig`.
+    evacuated : frozenset of FailureDomain
+        Failure domains whose backend servers must get no calls.
     """
 
     failure_domain: FailureDomain
@@ -37,6 +39,7 @@
     retry_slack: float | None = None
     load_balancer_config: LoadBalancerConfig = LoadBalancerConfig()
     vm_list: VmList | None = None
+    evacuated: frozenset[FailureDomain] = frozenset()
     _vms: dict[VmId, Vm] = attrs.field(factory=dict)
     _load_balancers: dict[str, LoadBalancer] = attrs.field(factory=dict)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
@@ -85,6 +88,12 @@
                     load_balancer.config, max_in_flight=service.connections_max
                 )
 
+    def set_evacuated(self, domains: frozenset[FailureDomain]) -> None:
+        """Replace the evacuated failure domains."""
+        if domains != self.evacuated:
+            self.evacuated = domains
+            self.refresh()
+
     def refresh(self) -> None:
         """Update the load balancers with the current status of each VM."""
         if self.vm_list is None:
@@ -92,8 +101,16 @@
         candidates: dict[str, list[Candidate]] = {service: [] for service in self._load_balancers}
         for vm in self.vm_list:
             usable = vm.state is VmState.LIVE and self.is_usable(vm.vm_id)
-            connected = self.is_connected(vm.vm_id)
-            candidates[vm.service].append(Candidate(vm.vm_id, vm.failure_domain, usable, connected))
+            candidates[vm.service].append(
+                Candidate(
+                    vm.vm_id,
+                    vm.failure_domain,
+                    usable,
+                    connected=self.is_connected(vm.vm_id),
+                    evacuated=vm.failure_domain in self.evacuated,
+                    instance=vm.instance,
+                )
+            )
         now_ms = self.clock.now_ms()
         for service, load_balancer in self._load_balancers.items():
             load_balancer.update(now_ms, candidates[service])
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -166,6 +166,7 @@
     prefer: VmId | None
     number: int = 0
     retries: int = 0
+    moves: int = 0
     earlier: RunState = RunState.NOT_RUN
     tried: frozenset[VmId] = frozenset()
     before_send: BeforeSend | None = None
@@ -188,6 +189,9 @@
             if forwarded.reply is not None:
                 forwarded.reply.cancel()
             self.earlier = merge_run_states(self.earlier, failure.run_state)
+            if decision.is_move:
+                self.moves += 1
+                continue
             self.retries += 1
             self.forwarder.retry_counts.add((self.head.service,))
             await anyio.sleep(decision.delay_ms / _MS_PER_S)
@@ -261,6 +265,7 @@
             alternatives=self.load_balancer.count_usable(self.tried),
             earlier=self.earlier,
             priority=self.head.rank // RANKS_PER_PRIORITY,
+            moves=self.moves,
         )
         return decide_retry(
             self.forwarder.clock.now_ms(),
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -55,6 +55,7 @@
     make_ready_page,
     make_status_page,
 )
+from .entries import StorePosition
 from .news import ReportExchange
 from .notices import NoticeHandler
 from .rates import SharedRates
@@ -156,6 +157,7 @@
             update_document=self.update_document,
             update_vm_list=self.update_vm_list,
             on_change=self._handle_peer_change,
+            on_evacuations=self._apply_evacuations,
         )
         self.gaps = GapMonitor(clock, settings.timing.loop_gap_ms, self.metrics, self._handle_gap)
         self._build_call_path(platform, random)
@@ -282,6 +284,11 @@
     def update_entries(self, changes: EntryChanges) -> bool:
         return self.exchange.apply_store_changes(changes)
 
+    def update_evacuations(
+        self, position: StorePosition, domains: frozenset[FailureDomain]
+    ) -> None:
+        self.exchange.apply_evacuations(position, domains)
+
     def note_store(self, *, is_reached: bool) -> None:
         self.exchange.note_store(is_reached=is_reached)
 
@@ -378,6 +385,7 @@
             "service": self.settings.vm.service,
             "version": self.exchange.version,
             "ready": self.is_ready(),
+            "evacuated": sorted(self.exchange.evacuated),
             "gate": self.serving.gate.describe(),
             "rates": self.rate_limiter.describe(now_ms),
             "peers": self.exchange.describe(now_ms),
@@ -412,6 +420,21 @@
         self._update_draining()
         self.fleet.refresh()
 
+    def _apply_evacuations(self) -> None:
+        """Stop or resume calls to the backend servers of evacuated failure domains."""
+        before, after = self.fleet.evacuated, self.exchange.evacuated
+        if before == after:
+            return
+        for domain in sorted(before ^ after):
+            has_begun = domain in after
+            _LOGGER.info("evacuation_changed", extra={"domain": domain, "on": has_begun})
+            reason = "evacuated by the operators" if has_begun else "evacuation taken back"
+            self.audit.record("evacuation", domain, "changed", reason)
+        self.fleet.set_evacuated(after)
+        is_evacuated = self.settings.vm.failure_domain in after
+        if is_evacuated != self.serving.is_evacuated:
+            self.serving.set_evacuated(is_evacuated)
+
     def _update_draining(self) -> None:
         """Refuse calls for the backend server while it is leaving, and tell the peers."""
         is_draining = self.exchange.leaving_servers.is_leaving(self.vm_id)
--- a/libs/daemon/src/wisteriaproxy/mesh/messages.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/messages.py
@@ -57,6 +57,21 @@
     config_version: int
 
 
+@attrs.frozen
+class Evacuations:
+    """All failure domains that are evacuated, from a relay to its members.
+
+    Parameters
+    ----------
+    epoch, revision : int
+        Position of the store at which they were read.
+    """
+
+    epoch: int
+    revision: int
+    domains: tuple[str, ...]
+
+
 @attrs.frozen
 class MemberReport:
     """Report of a member to its primary relay.
@@ -127,5 +142,6 @@
         65: MemberReport,
         66: DomainNews,
         67: RelayNews,
+        68: Evacuations,
     }
 )
--- a/libs/daemon/src/wisteriaproxy/mesh/news.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/news.py
@@ -14,10 +14,12 @@
 from ..control.plane import ControlPlane
 from .const import BROADCAST_OFFSET_MS, REPORT_INTERVAL_MS, SUMMARY_OFFSET_MS
 from .directory import Applied, EntryChanges
+from .entries import StorePosition
 from .leaving import LeavingServers
 from .messages import (
     DocumentAsk,
     DomainNews,
+    Evacuations,
     MemberReport,
     PeerNews,
     PublishedDocument,
@@ -60,6 +62,8 @@
         Called with a new list of VMs.
     on_change : callable
         Called when a peer or a backend server starts or stops leaving.
+    on_evacuations : callable
+        Called when an evacuation of a failure domain begins or ends.
     """
 
     vm_id: VmId
@@ -75,6 +79,7 @@
     update_document: Callable[[PublishedConfig, str], None]
     update_vm_list: Callable[[VmList], None]
     on_change: Callable[[], None]
+    on_evacuations: Callable[[], None]
     leaving_servers: LeavingServers = attrs.field(factory=LeavingServers)
     node: ControlNode = attrs.field(init=False)
 
@@ -88,6 +93,7 @@
             set_reading=self._set_reading,
             on_list=lambda: self.update_vm_list(self.node.directory.make_list()),
             on_states=self._handle_states,
+            on_evacuations=self.on_evacuations,
         )
         self.control.register(
             self._handle,
@@ -97,6 +103,7 @@
             MemberReport,
             DomainNews,
             RelayNews,
+            Evacuations,
         )
         self.control.register(self._handle_document_request, DocumentAsk)
         self.control.register(self._handle_document, PublishedDocument)
@@ -168,6 +175,15 @@
         """Apply what was read from the store; return whether changes before it are missing."""
         return self.node.apply_changes(self.clock.now_ms(), changes) is Applied.GAP
 
+    def apply_evacuations(self, position: StorePosition, domains: frozenset[FailureDomain]) -> None:
+        """Apply evacuations that were read from the store."""
+        self.node.apply_evacuations(self.clock.now_ms(), position, domains)
+
+    @property
+    def evacuated(self) -> frozenset[FailureDomain]:
+        """Failure domains whose backend servers must get no calls."""
+        return self.node.evacuations.in_force
+
     def note_store(self, *, is_reached: bool) -> None:
         self.node.note_store(self.clock.now_ms(), is_reached=is_reached)
 
--- a/libs/daemon/src/wisteriaproxy/mesh/node.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/node.py
@@ -26,8 +26,18 @@
     RELAY_RETRY_MS,
 )
 from .directory import Applied, Directory, EntryChanges
+from .entries import StorePosition
+from .evacuations import EvacuationRecord
 from .members import DomainSummary, MemberTable
-from .messages import DocumentAsk, DomainNews, MemberReport, PeerNews, RelayNews, Subscription
+from .messages import (
+    DocumentAsk,
+    DomainNews,
+    Evacuations,
+    MemberReport,
+    PeerNews,
+    RelayNews,
+    Subscription,
+)
 from .peers import PeerStates
 from .relays import RelayChoice
 
@@ -48,8 +58,9 @@
         Sends the configuration in force to a VM.
     set_reading : callable
         Starts or ends reading from the platform.
-    on_list, on_states : callable
-        Called after the entries of backend servers, or the states of peers, have changed.
+    on_list, on_states, on_evacuations : callable
+        Called after the entries of backend servers, the states of peers or the evacuated failure
+        domains have changed.
     """
 
     vm_id: VmId
@@ -60,9 +71,11 @@
     set_reading: Callable[[bool], None]
     on_list: Callable[[], None]
     on_states: Callable[[], None]
+    on_evacuations: Callable[[], None] = lambda: None
     config_version: int = 0
     is_leaving: bool = False
     directory: Directory = attrs.field(factory=Directory)
+    evacuations: EvacuationRecord = attrs.field(factory=EvacuationRecord)
     peer_states: PeerStates = attrs.field(factory=PeerStates)
     members: MemberTable = attrs.field(factory=MemberTable)
     relays: RelayChoice = attrs.field(init=False)
@@ -71,6 +84,8 @@
     _has_read: bool = False
     _lost_ms: int | None = None
     _needed_ms: int | None = None
+    _evacuation_sources: set[VmId] = attrs.field(factory=set)
+    _uninformed_since_ms: int | None = None
     _primary: VmId | None = None
     _domains: dict[FailureDomain, list[VmId]] = attrs.field(factory=dict)
     _rankings: dict[FailureDomain, list[VmId]] = attrs.field(factory=dict)
@@ -134,6 +149,15 @@
             self.on_list()
         return applied
 
+    def apply_evacuations(
+        self, now_ms: int, position: StorePosition, domains: frozenset[FailureDomain]
+    ) -> None:
+        """Apply evacuations from the store or a relay, and pass new ones on."""
+        if self.evacuations.apply(now_ms, position, domains):
+            for vm_id in self.subscribers:
+                self._send_evacuations(vm_id)
+            self.on_evacuations()
+
     def note_document(self, version: int) -> None:
         """Pass on a configuration that has come into force."""
         self.config_version = version
@@ -153,6 +177,7 @@
             self.subscribers.discard(vm_id)
             self.members.note_lost(now_ms, vm_id)
         self._last_news.pop(vm_id, None)
+        self._evacuation_sources.discard(vm_id)
 
     def note_unreachable(self, now_ms: int, vm_id: VmId) -> None:
         """Record that a VM could not be sent a message."""
@@ -187,6 +212,8 @@
             case EntryChanges():
                 if self.apply_changes(now_ms, message) is Applied.GAP:
                     self._ask_again(now_ms, sender)
+            case Evacuations():
+                self._handle_evacuations(now_ms, sender, message)
             case PeerNews():
                 self._handle_peer_news(now_ms, sender, message)
 
@@ -198,6 +225,8 @@
         self.subscribers.add(sender)
         self.members.note_linked(sender)
         self._update_reading(now_ms)
+        # first, so that a daemon that has just started calls no server of an evacuated domain
+        self._send_evacuations(sender)
         position = self.directory.position
         if (message.epoch, message.revision) < (position.epoch, position.revision):
             self.send(sender, self.directory.snapshot())
@@ -221,6 +250,19 @@
         if self.peer_states.note_view(now_ms, relay, leaving, silent):
             self.on_states()
 
+    def _handle_evacuations(self, now_ms: int, sender: VmId, message: Evacuations) -> None:
+        self._evacuation_sources.add(sender)
+        position = StorePosition(message.epoch, message.revision)
+        domains = frozenset(FailureDomain(name) for name in message.domains)
+        self.apply_evacuations(now_ms, position, domains)
+
+    def _send_evacuations(self, vm_id: VmId) -> None:
+        """Send the evacuated failure domains, also if there are none, once they are known."""
+        if self.evacuations.is_known:
+            position = self.evacuations.position
+            domains = tuple(sorted(self.evacuations.listed))
+            self.send(vm_id, Evacuations(position.epoch, position.revision, domains))
+
     def _handle_peer_news(self, now_ms: int, sender: VmId, message: PeerNews) -> None:
         self.note_leaving(now_ms, sender, message.leaving)
         self._note_version(sender, message.config_version)
@@ -259,6 +301,8 @@
             self.on_list()
         if self.peer_states.expire(now_ms):
             self.on_states()
+        if self.evacuations.expire(now_ms):
+            self.on_evacuations()
         if now_ms - self._cleaned_up_ms >= CLEANUP_INTERVAL_MS:
             self._cleaned_up_ms = now_ms
             self.members.expire(now_ms)
@@ -329,10 +373,10 @@
             self.send(vm_id, self._make_subscription(active=False))
 
     def _update_reading(self, now_ms: int) -> None:
-        """Read from the platform while others need it or no relay is heard."""
+        """Read from the platform while others need it or no relay tells enough."""
         spread_ms = rendezvous_weight("blind", self.vm_id) % RELAY_BLIND_SPREAD_MS
         is_blind = self.relays.unheard_ms(now_ms) > RELAY_BLIND_MS + spread_ms
-        if self.is_relay or is_blind:
+        if self.is_relay or is_blind or self._is_uninformed(now_ms, spread_ms):
             self._needed_ms = now_ms
         is_needed = self._needed_ms is not None and now_ms - self._needed_ms <= RELAY_KEEP_MS
         if is_needed != self.is_reading:
@@ -340,6 +384,19 @@
             self._has_read, self._lost_ms = False, None
             self.set_reading(is_needed)
 
+    def _is_uninformed(self, now_ms: int, spread_ms: int) -> bool:
+        """Return whether the relays reach the platform, but pass on no evacuations.
+
+        Relays of earlier versions don't.
+        """
+        tells = any(self.relays.is_subscribed(vm_id) for vm_id in self._evacuation_sources)
+        if tells or not self.relays.is_informed(now_ms):
+            self._uninformed_since_ms = None
+            return False
+        if self._uninformed_since_ms is None:
+            self._uninformed_since_ms = now_ms
+        return now_ms - self._uninformed_since_ms > RELAY_BLIND_MS + spread_ms
+
     def _update_outage(self, now_ms: int) -> None:
         """Take over from the relays when the platform was last reached."""
         if self.is_reading:
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -6,13 +6,14 @@
 import attrs
 
 from wisteria_config import Document
-from wisteria_core import Clock
+from wisteria_core import Clock, FailureDomain
 from wisteria_limits import AccountRate
 
 from ..calls import RunningCall
 from ..dialect import BackendDialect, CallerDialect
 from ..metrics import Metrics
 from .directory import EntryChanges
+from .entries import StorePosition
 from .settings import MeshSettings
 
 
@@ -40,6 +41,11 @@
     def update_entries(self, changes: EntryChanges) -> bool:
         """Handle entries of backend servers; return whether changes before them are missing."""
 
+    def update_evacuations(
+        self, position: StorePosition, domains: frozenset[FailureDomain]
+    ) -> None:
+        """Handle all evacuated failure domains at a position of the store."""
+
     def note_store(self, *, is_reached: bool) -> None:
         """Handle whether a read has succeeded."""
 
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -43,6 +43,9 @@
 SERVER_LEAVING = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
 )
+EVACUATED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
+)
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
 
 
@@ -92,6 +95,8 @@
         Interval at which the gate checks the waiting calls, in milliseconds.
     is_draining : bool
         Whether the backend server is leaving, while the daemon may stay.
+    is_evacuated : bool
+        Whether operators have evacuated the failure domain of this VM.
     """
 
     gate: AdmissionGate
@@ -106,6 +111,7 @@
     tick_ms: int = TICK_MS
     is_stopping: bool = False
     is_draining: bool = False
+    is_evacuated: bool = False
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
     _next_id: int = 0
@@ -194,6 +200,15 @@
         if is_draining:
             self._apply_actions(self.gate.drain(self.clock.now_ms(), SERVER_LEAVING))
 
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Refuse new and queued calls while the failure domain is evacuated; running ones continue.
+
+        The daemon itself goes on serving its callers through other failure domains.
+        """
+        self.is_evacuated = is_evacuated
+        if is_evacuated:
+            self._apply_actions(self.gate.drain(self.clock.now_ms(), EVACUATED))
+
     async def _serve_within(self, call_id: int, served: _ServedCall) -> None:
         refusal = self.check(served.head) or await self._admit(call_id, served)
         if refusal is None:
@@ -228,6 +243,8 @@
         """Return the refusal of a call that may not be served now, or None."""
         if self.is_leaving:
             return SERVER_LEAVING
+        if self.is_evacuated:
+            return EVACUATED
         return self._check_key(head)
 
     def _check_key(self, head: CallHead) -> Refusal | None:
--- a/libs/routing/src/wisteria_routing/load_balancer.py
+++ b/libs/routing/src/wisteria_routing/load_balancer.py
@@ -40,8 +40,8 @@
     def update(self, now_ms: int, candidates: Iterable[Candidate]) -> None:
         """Replace the candidates; observations of those that remain are kept.
 
-        Servers of the first non-empty update get their full share at once; later ones go through
-        a slow start.
+        Servers of the first non-empty update get their full share at once; later ones, and those
+        that return from an evacuation or a restart, go through a slow start.
         """
         started_ms = now_ms if self._had_candidates else now_ms - self.config.slow_start_ms
         known = self._servers
@@ -49,6 +49,8 @@
         self._servers = {}
         for candidate in candidates:
             server = known.get(candidate.vm_id) or Server(candidate, started_ms)
+            if candidate.has_returned(server.candidate):
+                server.started_ms = now_ms
             server.candidate = candidate
             self._servers[candidate.vm_id] = server
             self._had_candidates = True
@@ -151,7 +153,7 @@
         return [
             {
                 "vm": server.vm_id,
-                "usable": server.candidate.usable,
+                "usable": server.candidate.takes_calls,
                 "ejected": server.ejected_until_ms is not None,
                 "in_flight": server.in_flight,
                 "load": round(server.load(now_ms, baseline, self.config), 3),
@@ -163,11 +165,11 @@
 
     def _usable(self, exclude: frozenset[VmId]) -> list[Server]:
         if not exclude:
-            return [server for server in self._servers.values() if server.candidate.usable]
+            return [server for server in self._servers.values() if server.candidate.takes_calls]
         return [
             server
             for server in self._servers.values()
-            if server.candidate.usable and server.vm_id not in exclude
+            if server.candidate.takes_calls and server.vm_id not in exclude
         ]
 
     def _choose_among(
@@ -240,7 +242,7 @@
         recent_loads = [s.recent_load(now_ms, self.config) for s in servers]
         loads = [load for load in recent_loads if load is not None]
         limits = [limit for s in servers if (limit := s.reported_limit()) is not None]
-        usable = [s for s in servers if s.candidate.usable and s.ejected_until_ms is None]
+        usable = [s for s in servers if s.candidate.takes_calls and s.ejected_until_ms is None]
         default = Baseline()
         return Baseline(
             min(default.load, _median(loads, default.load)),
@@ -255,7 +257,7 @@
         rate = server.error_rate(now_ms, config)
         if rate < config.eject_error_rate:
             return False
-        others = [s for s in self._servers.values() if s is not server and s.candidate.usable]
+        others = [s for s in self._servers.values() if s is not server and s.candidate.takes_calls]
         ejected = sum(1 for s in others if s.ejected_until_ms is not None)
         if ejected + 1 > max(1, int(config.eject_share * (len(others) + 1))) or not others:
             return False
--- a/libs/routing/src/wisteria_routing/models.py
+++ b/libs/routing/src/wisteria_routing/models.py
@@ -29,12 +29,28 @@
     connected : bool
         Whether the VM is connected, as far as the daemon knows; see
         `LoadBalancerConfig.connect_penalty`.
+    evacuated : bool
+        Whether its failure domain is evacuated.
+    instance : str
+        Process of the backend server; empty if unknown.
     """
 
     vm_id: VmId
     failure_domain: FailureDomain
     usable: bool = True
     connected: bool = True
+    evacuated: bool = False
+    instance: str = ""
+
+    @property
+    def takes_calls(self) -> bool:
+        """Whether it may be sent calls."""
+        return self.usable and not self.evacuated
+
+    def has_returned(self, before: "Candidate") -> bool:
+        """Return whether it was evacuated before, or is another process of the server."""
+        was_evacuated = before.evacuated and not self.evacuated
+        return was_evacuated or bool(before.instance and before.instance != self.instance)
 
 
 @attrs.frozen
@@ -98,6 +114,8 @@
         Combined run state of all earlier attempts, see `merge_run_states`.
     priority : int
         Priority class of the request; the lowest value is the most urgent. See `RetryBudget`.
+    moves : int
+        Earlier attempts that no backend server received, see `Retry`.
     """
 
     number: int
@@ -108,14 +126,23 @@
     alternatives: int
     earlier: RunState = RunState.NOT_RUN
     priority: int = 0
+    moves: int = 0
 
 
 @attrs.frozen
 class Retry:
-    """Send the call again after `delay_ms`, to a backend server outside `exclude`."""
+    """Send the call again after `delay_ms`, to a backend server outside `exclude`.
+
+    Parameters
+    ----------
+    is_move : bool
+        Whether the failed attempt reached no backend server, so that this is no repeated call for
+        the service and consumes neither allowance nor budget.
+    """
 
     delay_ms: int
     exclude: frozenset[VmId]
+    is_move: bool = False
 
 
 @attrs.frozen
--- a/libs/routing/src/wisteria_routing/retries.py
+++ b/libs/routing/src/wisteria_routing/retries.py
@@ -27,6 +27,8 @@
         ResultCode.INTERNAL,
     }
 )
+MAX_MOVES = 3
+"""Attempts of a call that may be turned away because the server is leaving or evacuated."""
 _RETRY_AFTER_CODES = _RETRIABLE | {ResultCode.RETRIES_EXHAUSTED}
 
 
@@ -48,7 +50,8 @@
 ) -> Retry | GiveUp:
     """Decide whether a failed attempt is retried.
 
-    A retry consumes one retry of `allowance` and one token of `budget`; giving up consumes none.
+    A retry consumes one retry of `allowance` and one token of `budget`; giving up consumes none,
+    and neither does a call that the daemon beside a leaving or evacuated server turned away.
 
     Parameters
     ----------
@@ -70,6 +73,8 @@
     delay_ms = _delay_ms(attempt.number, random, config)
     if attempt.alternatives < 1 or now_ms + delay_ms >= attempt.deadline_at_ms:
         return GiveUp(_refuse(attempt, attempt.failure.code, attempt.failure.reason, config))
+    if _is_move(attempt):
+        return Retry(0, attempt.tried, is_move=True)
     if allowance.remaining < 1 or not budget.has_token(now_ms, attempt.priority):
         reason = f"no retry is left after: {attempt.failure.reason}"
         return GiveUp(_refuse(attempt, ResultCode.RETRIES_EXHAUSTED, reason, config))
@@ -85,6 +90,12 @@
     return attempt.repeatable or state is RunState.NOT_RUN
 
 
+def _is_move(attempt: Attempt) -> bool:
+    if attempt.moves >= MAX_MOVES or attempt.failure.run_state is not RunState.NOT_RUN:
+        return False
+    return attempt.failure.code is ResultCode.BACKEND_SERVER_LEAVING
+
+
 def _delay_ms(number: int, random: Random, config: RetryConfig) -> int:
     bound_ms = min(config.max_delay_ms, config.base_delay_ms << min(number - 1, 16))
     return random.randint(0, bound_ms)
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -133,19 +133,25 @@
         }
         self.store.put(f"servers/{node.upstream.instance}", json.dumps(entry | changes).encode())
 
-    async def add_node(self, registers: bool = True, strict_revocation: bool = False) -> Node:
+    def evacuate(self, zone: str) -> None:
+        """Write to the store that a failure domain is evacuated."""
+        self.store.put(f"op/evacuate/{zone}", b"{}")
+
+    async def add_node(
+        self, registers: bool = True, strict_revocation: bool = False, zone: str = "north"
+    ) -> Node:
         """Start a VM and wait until its daemon listens."""
         host = self._host(10 + len(self.nodes))
         upstream = Upstream(host, f"i-{len(self.nodes)}")
         await upstream.http.async_setup()
-        settings = self._make_settings(host, strict_revocation)
+        settings = self._make_settings(host, strict_revocation, zone)
         daemon = await self._start_daemon(settings)
         # a peer that dials earlier fails and delays its next attempt
         await wait_until(lambda: daemon.callers._server is not None)
         node = Node(host, upstream, daemon, settings)
         self.nodes.append(node)
         if registers:
-            self.register(node)
+            self.register(node, zone=zone)
         return node
 
     async def restart_daemon(self, node: Node) -> None:
@@ -156,9 +162,9 @@
         node.daemon = await self._start_daemon(node.settings)
         await wait_until(lambda: self._knows_all(node))
 
-    async def add_ready(self, count: int) -> list[Node]:
-        """Start VMs and wait until each has the configuration and the list of all VMs."""
-        nodes = [await self.add_node() for _ in range(count)]
+    async def add_ready(self, count: int, zones: tuple[str, ...] = ("north",)) -> list[Node]:
+        """Start VMs, in the zones by turns, and wait until each knows the others and the routes."""
+        nodes = [await self.add_node(zone=zones[i % len(zones)]) for i in range(count)]
         for node in nodes:
             await wait_until(lambda node=node: self._knows_all(node))
         return nodes
@@ -212,12 +218,12 @@
     def _host(self, last: int) -> str:
         return f"127.77.{self.subnet}.{last}"
 
-    def _make_settings(self, host: str, strict_revocation: bool) -> MeshSettings:
+    def _make_settings(self, host: str, strict_revocation: bool, zone: str) -> MeshSettings:
         text = f"""
 [vm]
 id = "{host}"
 service = "yield"
-failure_domain = "north"
+failure_domain = "{zone}"
 [listen]
 callers = "{host}:{CALLERS}"
 peers = "{host}:{PEERS}"
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -209,6 +209,28 @@
     assert sent[SERVERS[0]] < 500 // len(SERVERS) // 2
 
 
+def test_an_evacuated_server_gets_nothing_and_returns_slowly() -> None:
+    balancer = make_balancer()
+    candidates = [Candidate(vm, EAST, evacuated=vm == SERVERS[0]) for vm in SERVERS]
+    balancer.update(1_000, candidates)
+    assert run_calls(balancer, 1_000, 500, answer_ok)[SERVERS[0]] == 0
+    assert balancer.count_usable() == len(SERVERS) - 1
+    balancer.update(2_000, [Candidate(vm, EAST) for vm in SERVERS])
+    early = run_calls(balancer, 2_000, 500, answer_ok)[SERVERS[0]]
+    late = run_calls(balancer, 9_000, 500, answer_ok)[SERVERS[0]]
+    assert 0 < early < late
+
+
+def test_a_server_that_has_restarted_starts_slowly() -> None:
+    balancer = make_balancer()
+    candidates = [Candidate(vm, EAST, instance="i-1") for vm in SERVERS]
+    balancer.update(1_000, candidates)
+    balancer.update(2_000, [attrs.evolve(candidates[0], instance="i-2"), *candidates[1:]])
+    early = run_calls(balancer, 2_000, 500, answer_ok)[SERVERS[0]]
+    late = run_calls(balancer, 9_000, 500, answer_ok)[SERVERS[0]]
+    assert 0 < early < late
+
+
 def test_calls_at_one_server_are_bounded() -> None:
     balancer = LoadBalancer(EAST, Random(1), LoadBalancerConfig(max_in_flight=2))
     balancer.update(0, [Candidate(SERVERS[0], EAST)])
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -14,8 +14,10 @@
     RetryBudget,
     decide_retry,
 )
+from wisteria_routing.retries import MAX_MOVES
 
 NOT_RUN = Refusal(ResultCode.QUEUE_FULL, "the queue is full", RunState.NOT_RUN, 70)
+LEAVING = Refusal(ResultCode.BACKEND_SERVER_LEAVING, "it is evacuated", RunState.NOT_RUN)
 UNKNOWN = Refusal(ResultCode.LINK_LOST, "the link was lost", RunState.UNKNOWN)
 RAN = Refusal(ResultCode.BACKEND_SERVER_FAILED, "it answered 500", RunState.RAN)
 ATTEMPT = Attempt(1, frozenset({VmId("vm-1")}), NOT_RUN, False, 1_000, alternatives=2)
@@ -81,6 +83,25 @@
     assert spent == budget.config.burst - 1
 
 
+# guards against refusing calls of a long queue, and spending retries, because a server was emptied
+def test_a_call_that_a_leaving_server_turned_away_moves_at_once_and_costs_nothing() -> None:
+    allowance, budget = RetryAllowance(0), RetryBudget()
+    attempt = attrs.evolve(ATTEMPT, failure=LEAVING)
+    before = attrs.asdict(budget)
+    decision = decide_retry(0, attempt, allowance, budget, Random(1))
+    assert decision == Retry(0, ATTEMPT.tried, is_move=True)
+    assert attrs.asdict(budget) == before
+
+
+def test_moves_are_bounded_and_a_call_that_may_have_run_never_moves() -> None:
+    attempt = attrs.evolve(ATTEMPT, failure=LEAVING, moves=MAX_MOVES)
+    assert give_up(attempt, remaining=0).code is ResultCode.RETRIES_EXHAUSTED
+    unknown = attrs.evolve(LEAVING, run_state=RunState.UNKNOWN)
+    assert isinstance(decide(attrs.evolve(ATTEMPT, failure=unknown)), GiveUp)
+    ran_before = attrs.evolve(ATTEMPT, failure=LEAVING, earlier=RunState.UNKNOWN)
+    assert isinstance(decide(ran_before), GiveUp)
+
+
 def test_delays_are_jittered_and_bounded() -> None:
     random = Random(5)
     delays = set()
--- a/tests/wisteriaproxy/control_fleet.py
+++ b/tests/wisteriaproxy/control_fleet.py
@@ -17,7 +17,7 @@
 )
 from wisteriaproxy.mesh.directory import START, EntryChanges
 from wisteriaproxy.mesh.entries import ServerEntry, StorePosition
-from wisteriaproxy.mesh.messages import DocumentAsk
+from wisteriaproxy.mesh.messages import DocumentAsk, Evacuations
 from wisteriaproxy.mesh.node import ControlNode
 
 ACCOUNT = "a"
@@ -36,14 +36,18 @@
         Whether it neither runs nor takes messages.
     reaches_store : bool
         Whether the store answers it.
+    is_older : bool
+        Whether its version knows nothing of evacuations.
     """
 
     vm: Vm
     node: ControlNode = attrs.field(init=False)
     is_frozen: bool = False
     reaches_store: bool = True
+    is_older: bool = False
     store_position: int = 0
     list_version: int = 0
+    evacuations_read: StorePosition = START
 
 
 @attrs.define(eq=False)
@@ -67,6 +71,8 @@
     crossed: int = 0
     store_calls: int = 0
     cut: set[VmId] = attrs.field(factory=set)
+    evacuated: frozenset[FailureDomain] = frozenset()
+    _evacuated_at: StorePosition = StorePosition(1, 0)
     _events: list[tuple[int, int, Callable[[], None]]] = attrs.field(factory=list)
     _order: Any = attrs.field(factory=itertools.count)
     _history: list[EntryChanges] = attrs.field(factory=list)
@@ -106,6 +112,22 @@
         self._entries[vm.instance] = entry
         self._history.append(EntryChanges(False, base, position, (entry,)))
 
+    def evacuate(self, *names: str) -> None:
+        """Write to the store which failure domains are evacuated, and no others."""
+        self.evacuated = frozenset(FailureDomain(name) for name in names)
+        revision = self._evacuated_at.revision + 1
+        self._evacuated_at = StorePosition(self._evacuated_at.epoch, revision)
+
+    def restore_without_evacuations(self) -> None:
+        """Go back to a copy of the store that was made before any evacuation."""
+        self.evacuated = frozenset()
+        self._evacuated_at = StorePosition(self._evacuated_at.epoch + 1, 0)
+
+    def count_heeding(self, *names: str) -> int:
+        """Return how many daemons treat these failure domains, and no others, as evacuated."""
+        domains = {FailureDomain(name) for name in names}
+        return sum(1 for node in self.nodes() if node.evacuations.in_force == domains)
+
     def count_informed(self, vm_id: VmId) -> int:
         """Return how many daemons know that a backend server drains."""
         lists = [daemon.node.directory.make_list() for daemon in self.daemons.values()]
@@ -189,15 +211,21 @@
                     daemon.node.apply_changes(self.now_ms, changes)
                     self.store_calls += 1
                 daemon.store_position = len(self._history)
+                self._read_evacuations(daemon)
         self.at(self.now_ms + 50, lambda: self._watch(daemon))
 
+    def _read_evacuations(self, daemon: Daemon) -> None:
+        if not daemon.is_older and daemon.evacuations_read != self._evacuated_at:
+            daemon.evacuations_read = self._evacuated_at
+            daemon.node.apply_evacuations(self.now_ms, self._evacuated_at, self.evacuated)
+
     def _send(self, sender: VmId, target: VmId, message: Any) -> None:
         if isinstance(message, DocumentAsk):
             return
         self.sent[type(message).__name__] += 1
         self.sent_by[sender] += 1
         source, found = self.daemons[sender], self.daemons.get(target)
-        if found is None:
+        if found is None or (found.is_older and isinstance(message, Evacuations)):
             return
         self.crossed += source.vm.failure_domain != found.vm.failure_domain
 
