Hold cold backend servers to the rate that they bear

Cause: after a loss of power each server came back cold, got more than it can bear, crashed and came back cold again; cold_per_s and the remaining cold time of the health endpoint were not read.

Change: the daemon beside a server limits what it sends it (token bucket, shared with the rate that a server names) while the server is or may be cold: from a start of the daemon, a refused connection, a crash, a new process or the end of an evacuation, until the health endpoint says otherwise or, unasked, a bound passes (first answer plus cold time, or the list). The endpoint is asked only when a call has to wait. Shedding, queue and told capacity use the rate; urgent calls take tokens first.

Ruled out: polling of health checks (dear); a fixed bound on each start (daemons restart beside warm servers).

Tests: test_cold_start of admission and platform.

--- a/libs/admission/src/wisteria_admission/__init__.py
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -1,6 +1,7 @@
 """Adaptive concurrency limits, priority queueing and load shedding."""
 
 from .chain import ChainLevels
+from .cold_start import ColdStart, ColdStartLimit
 from .config import AdmissionConfig, DemandConfig, LevelConfig, LimiterConfig
 from .const import HASH_RANKS, RANK_COUNT, RANKS_PER_PRIORITY
 from .demand import DemandLevel
@@ -30,6 +31,8 @@
     "AdmissionLevel",
     "AimdLimiter",
     "ChainLevels",
+    "ColdStart",
+    "ColdStartLimit",
     "DemandConfig",
     "DemandLevel",
     "Dispatch",
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -7,6 +7,7 @@
 
 from wisteria_core import Priority, Refusal, ResultCode
 
+from .cold_start import ColdStart
 from .config import AdmissionConfig
 from .const import HASH_RANKS, MS_PER_S, RANK_COUNT
 from .demand import DemandLevel, SheddingLevel
@@ -18,6 +19,8 @@
 from .rate_limit import NamedRateLimit
 from .shares import ShareTracker
 
+MAX_TOKEN_QUEUE_MS = 300
+"""Longest time for which calls are queued for a token; later ones are better off elsewhere."""
 MIN_RETRY_AFTER_MS = 50
 STOPPING = Refusal(
     ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=MIN_RETRY_AFTER_MS
@@ -44,6 +47,8 @@
         Names reported in `level`.
     limiter : Limiter, optional
         Concurrency limit of short calls; an AIMD limiter by default.
+    cold_start : ColdStart
+        Rate limit while the backend server is cold.
     """
 
     slots: int
@@ -53,6 +58,7 @@
     limiter: Limiter = attrs.field(
         default=attrs.Factory(lambda self: AimdLimiter(self.config.limiter), takes_self=True)
     )
+    cold_start: ColdStart = attrs.field(factory=ColdStart)
     _short: _Pool = attrs.field(init=False)
     _long: _Pool = attrs.field(init=False)
     _run_times: RunTimeEstimates = attrs.field(init=False, factory=RunTimeEstimates)
@@ -182,7 +188,7 @@
         By Little's law, a rate limit keeps as many calls running as arrive within a run time.
         """
         limit = float(self.limiter.limit())
-        per_s = self._rate_limit.per_s
+        per_s = self.rate_per_s(now_ms)
         if per_s is None:
             return limit
         return max(1.0, min(limit, per_s * self._run_times.overall_ms(now_ms) / MS_PER_S))
@@ -203,10 +209,10 @@
             work_ms=work_ms,
         )
 
-    @property
-    def is_rate_limited(self) -> bool:
-        """Whether the backend server names a rate limit."""
-        return self._rate_limit.per_s is not None
+    def rate_per_s(self, now_ms: int) -> float | None:
+        """Return the calls per second that the backend server may be sent; None if unlimited."""
+        rates = (self._rate_limit.per_s, self.cold_start.per_s(now_ms))
+        return min((per_s for per_s in rates if per_s is not None), default=None)
 
     def is_contended(self) -> bool:
         """Return whether calls wait or are being shed."""
@@ -244,7 +250,7 @@
     # starting
 
     def _may_start(self, now_ms: int, pool: _Pool, priority: Priority) -> bool:
-        if not self._rate_limit.has_token(now_ms):
+        if not (self._rate_limit.has_token(now_ms) and self.cold_start.has_token(now_ms)):
             return False
         urgent_extra = self.reserve() if priority is Priority.URGENT else 0
         if self.running() >= self.slots - self.reserve() + urgent_extra:
@@ -260,6 +266,7 @@
             return self._refuse_deadline(now_ms, ticket)
         pool.running[ticket.call_id] = ticket
         self._rate_limit.take(now_ms)
+        self.cold_start.take(now_ms)
         pool.queue.charge(ticket, math.ceil(run_ms))
         if pool is self._short:
             self._shares.note_served(ticket.priority, run_ms)
@@ -304,7 +311,7 @@
         if now_ms + wait_ms + self._run_ms(now_ms, ticket) >= ticket.deadline_at_ms:
             return Offer(self._refuse_deadline(now_ms, ticket))
         evicted: tuple[Refuse, ...] = ()
-        if len(pool.queue) >= self._max_queued():
+        if len(pool.queue) >= self._max_queued(now_ms):
             victim = pool.queue.evict_for(ticket)
             if victim is None:
                 return Offer(
@@ -359,7 +366,7 @@
         idle = not queue and self._may_start(now_ms, self._short, Priority.NORMAL)
         if isinstance(self._level, DemandLevel):
             self._level.slots = self.capacity(now_ms)
-        full_queue_wait_ms = self._wait_ms(now_ms, self._short, self._max_queued())
+        full_queue_wait_ms = self._wait_ms(now_ms, self._short, self._max_queued(now_ms))
         run_ms = self._run_times.overall_ms(now_ms)
         self._level.update(now_ms, run_ms, full_queue_wait_ms, wait_ms, urgent_ms, idle)
         self._shares.update(now_ms, len(queue) > 0 or self._level.threshold < RANK_COUNT)
@@ -371,16 +378,20 @@
 
     def _wait_ms(self, now_ms: int, pool: _Pool, ahead: int) -> float:
         """Return the expected time until `ahead` calls have started."""
-        rate_wait_ms = self._rate_limit.wait_ms(now_ms, ahead)
+        rate_wait_ms = max(
+            self._rate_limit.wait_ms(now_ms, ahead), self.cold_start.wait_ms(now_ms, ahead)
+        )
         if pool is self._long:
             return rate_wait_ms
         slot_wait_ms = ahead * self._run_times.overall_ms(now_ms) / max(1, self.limiter.limit())
         return max(slot_wait_ms, rate_wait_ms)
 
-    def _max_queued(self) -> int:
+    def _max_queued(self, now_ms: int) -> int:
         slots_queue = self.slots * self.config.queue_per_slot
-        rate_queue = self._rate_limit.max_queued()
-        return slots_queue if rate_queue is None else min(slots_queue, rate_queue)
+        per_s = self.rate_per_s(now_ms)
+        if per_s is None:
+            return slots_queue
+        return min(slots_queue, int(per_s * MAX_TOKEN_QUEUE_MS / MS_PER_S))
 
     def _refuse_deadline(self, now_ms: int, ticket: Ticket) -> Refusal:
         if ticket.deadline_at_ms <= now_ms:
--- a/libs/config/src/wisteria_config/changes.py
+++ b/libs/config/src/wisteria_config/changes.py
@@ -29,6 +29,8 @@
     "concurrency_max": Quantity("maximum concurrency limit", " calls"),
     "connections_max": Quantity("connection limit"),
     "crash_limit": Quantity("crash limit"),
+    "cold_rate_per_s": Quantity("rate of cold backend servers", " calls/s"),
+    "cold_start_ms": Quantity("cold time after a start", " ms"),
     "deadline_ms": Quantity("deadline", " ms"),
     "retry_allowance": Quantity("retry allowance"),
     "stall_ms": Quantity("stall timeout", " ms"),
--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -117,6 +117,20 @@
             Text(const.HEALTH_PATH_PATTERN, 'a path such as "/healthz"'),
         ),
     )
+    cold_rate_per_s: float = attrs.field(
+        default=const.DEFAULT_COLD_RATE_PER_S,
+        metadata=about(
+            "Calls per second that a backend server takes while it is cold; 0 for no limit.",
+            NumberRange(0, const.MAX_RATE_PER_S),
+        ),
+    )
+    cold_start_ms: int = attrs.field(
+        default=const.DEFAULT_COLD_START_MS,
+        metadata=about(
+            "Time for which a backend server is cold after its start, in milliseconds.",
+            IntegerRange(0, const.MAX_COLD_START_MS),
+        ),
+    )
 
 
 @attrs.frozen
--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -151,6 +151,7 @@
             self.shared.peers.run_ticks,
             self.shared.slots.run_ticks,
             self.path.health.run,
+            self.path.cold_start.run,
             self.shared.configuration.run,
             self._watch_vm_list,
         ):
@@ -223,6 +224,9 @@
         self.shared.peers.apply_list(vm_list)
         self.shared.fleet.apply_list(vm_list)
         self.shared.configuration.apply_list(vm_list)
+        own = vm_list.find(self.context.vm_id)
+        if own is not None:
+            self.path.cold_start.apply_vm(own)
         self.shared.slots.apply_list(vm_list, requested_at_ms)
         if requested_at_ms is not None or not self.shared.slots.ownership.needs_list:
             self.is_list_current = True
@@ -246,6 +250,7 @@
 
     def _activate_document(self, document: Document) -> None:
         self.shared.fleet.apply_document(document)
+        self.path.cold_start.apply_document(document)
         self.shared.peers.membership.set_config(document.version, document_digest(document))
         ended = self.path.entry.end_withdrawn(document)
         ended += self.path.serving.end_withdrawn(document)
--- a/libs/daemon/src/wisteriaproxy/backend.py
+++ b/libs/daemon/src/wisteriaproxy/backend.py
@@ -17,6 +17,7 @@
 _DRAIN_LIMIT_S = 0.05
 """Time limit for the body of a rejected answer, which usually arrives with its head."""
 _MAX_DRAINED_BYTES = 4_096
+_HEALTH_TIMEOUT_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -81,8 +82,7 @@
 
     async def read_health(self, max_bytes: int) -> bytes | Refusal:
         """Return the body from the health endpoint; empty if its status is not 200."""
-        headers = ("host", self._pool.authority)
-        call = await self._pool.send(encode_request("GET", self.settings.health_path, headers, b""))
+        call = await self._ask_health(self.settings.health_path)
         if isinstance(call, Refusal):
             return call
         try:
@@ -93,6 +93,29 @@
             return body
         return body if body is not None and call.answer.status == _STATUS_OK else b""
 
+    async def read_cold_ms(self, health_path: str, instance: str) -> int | Refusal | None:
+        """Return how long the server stays cold, as its health endpoint says; None if unknown.
+
+        Parameters
+        ----------
+        health_path : str
+            Path of the health endpoint.
+        instance : str
+            Process that is asked; empty if it is not known.
+        """
+        with anyio.move_on_after(_HEALTH_TIMEOUT_S):
+            call = await self._ask_health(health_path)
+            if isinstance(call, Refusal):
+                return call
+            await self._drain(call)
+            call.cancel()
+            return self.dialect.read_cold_ms(call.answer, instance)
+        return None
+
+    async def _ask_health(self, path: str) -> HttpCall | Refusal:
+        headers = ("host", self._pool.authority)
+        return await self._pool.send(encode_request("GET", path, headers, b""))
+
     async def accepts_connections(self) -> bool:
         """Return whether a new connection is accepted now."""
         try:
--- a/libs/daemon/src/wisteriaproxy/crashes.py
+++ b/libs/daemon/src/wisteriaproxy/crashes.py
@@ -33,6 +33,8 @@
         Returns the other VMs of the service.
     send : callable
         Sends a control message to the daemon of a VM.
+    on_crash : callable
+        Called when the backend server has crashed.
     """
 
     detector: PoisonDetector
@@ -40,6 +42,7 @@
     clock: Clock
     list_peers: Callable[[], list[VmId]]
     send: Callable[[VmId, Any], None]
+    on_crash: Callable[[], None] = lambda: None
     _pending_check: anyio.Event | None = None
 
     def start(self, run_id: int, head: CallHead) -> Refusal | None:
@@ -64,6 +67,7 @@
         self._pending_check = anyio.Event()
         try:
             if await self._has_crashed():
+                self.on_crash()
                 self._note_crash()
         finally:
             self._pending_check.set()
--- a/libs/daemon/src/wisteriaproxy/dialect.py
+++ b/libs/daemon/src/wisteriaproxy/dialect.py
@@ -122,6 +122,15 @@
     def read_notice(self, call: RunningCall, answer: HttpResponse) -> BackendNotice | None:
         """Return what the answer says about its server; None if another one may have sent it."""
 
+    def read_cold_ms(self, answer: HttpResponse, instance: str) -> int | None:
+        """Return how long the server stays cold, as its health endpoint says; None if unknown.
+
+        Parameters
+        ----------
+        instance : str
+            Process that is asked; empty if it is not known.
+        """
+
     def make_answer_headers(self, answer: HttpResponse) -> tuple[str, ...]:
         """Return the headers for the caller, as alternating names and values."""
 
@@ -230,6 +239,10 @@
         """Return an empty notice: the health endpoint reports draining instead."""
         return BackendNotice()
 
+    def read_cold_ms(self, answer: HttpResponse, instance: str) -> int | None:
+        """Return None: the health endpoint does not say."""
+        return None
+
     def make_answer_headers(self, answer: HttpResponse) -> tuple[str, ...]:
         """Return the headers without those reserved for daemons."""
         return filter_answer_headers(answer.headers)
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -29,6 +29,7 @@
 from ..backend import BackendServer
 from ..callers import CallerListener
 from ..calls import CallRegistry
+from ..cold_start import ColdStartMonitor
 from ..control.plane import ControlPlane
 from ..crashes import CrashMonitor
 from ..entry import EntryHandler
@@ -207,6 +208,16 @@
             needs_document=False,
             tick_ms=GATE_TICK_MS,
         )
+        self.cold_start = ColdStartMonitor(
+            settings.vm.service,
+            self.serving,
+            self.backend,
+            clock,
+            settings.bounds.cold_overage,
+            settings.bounds.cold_slack,
+        )
+        self.serving.on_wait = self.cold_start.request_check
+        crashes.on_crash = self.serving.gate.cold_start.note_restart
         notices = NoticeHandler(self.serving.gate, self.exchange, clock)
         self.backend.on_notice = notices.handle
         forwarder = Forwarder(
@@ -263,6 +274,7 @@
         now_ms = self.clock.now_ms()
         self.published = published
         self.fleet.apply_document(document)
+        self.cold_start.apply_document(document)
         self.rate_limiter.apply_rates(now_ms, published.rates)
         ended = 0
         if self.settings.bounds.strict_revocation:
@@ -303,6 +315,8 @@
             self.fleet.apply_document(self.published.document)
         self.rate_limiter.set_daemon_count(len(vm_list))
         own = after.get(self.vm_id)
+        if own is not None:
+            self.cold_start.apply_vm(own)
         if own is not None and own.slots and own.slots != self.serving.gate.slots:
             self.serving.gate.set_slots(self.clock.now_ms(), own.slots)
         if not before:
@@ -328,7 +342,13 @@
         await self.operator_port.async_setup(listen.operators)
         await self.links.async_setup(*parse_address(listen.peers))
         await self.callers.async_setup(*parse_address(listen.callers))
-        for run in (self.gaps.run, self.serving.run_ticks, self.exchange.run, self._watch_settings):
+        for run in (
+            self.gaps.run,
+            self.serving.run_ticks,
+            self.cold_start.run,
+            self.exchange.run,
+            self._watch_settings,
+        ):
             self.tasks.start_soon(run)
         self.tasks.start_soon(self._source.run, self)
         _LOGGER.info(
@@ -387,6 +407,7 @@
             "ready": self.is_ready(),
             "evacuated": sorted(self.exchange.evacuated),
             "gate": self.serving.gate.describe(),
+            "cold": self.serving.gate.cold_start.is_cold(now_ms),
             "rates": self.rate_limiter.describe(now_ms),
             "peers": self.exchange.describe(now_ms),
         }
--- a/libs/daemon/src/wisteriaproxy/mesh/settings.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/settings.py
@@ -100,6 +100,14 @@
         _NOT_NEGATIVE,
         0.0,
     )
+    cold_overage: float = setting(
+        "Factor by which the calls to a cold backend server may exceed its rate.",
+        Rule("1 or more", lambda value: value >= 1),
+        1.0,
+    )
+    cold_slack: float = setting(
+        "Calls in addition to that by which they may exceed it in any second.", _NOT_NEGATIVE, 0.0
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -48,6 +48,7 @@
 from .backend import BackendServer
 from .callers import CallerListener
 from .calls import CallRegistry
+from .cold_start import ColdStartMonitor
 from .configuration import ConfigurationManager
 from .control import ownership_kinds as _ownership_kinds  # noqa: F401
 from .control.plane import ControlPlane
@@ -119,6 +120,7 @@
     backend: BackendServer
     health: HealthPoller
     serving: ServingHandler
+    cold_start: ColdStartMonitor
     at_most_once: AtMostOnceExecutor
     entry: EntryHandler
     callers: CallerListener
@@ -230,6 +232,7 @@
     settings, clock = context.settings, context.clock
     registry, levels = CallRegistry(), ChainLevels()
     backend = BackendServer(settings.backend, clock)
+    crashes = _build_crash_monitor(context, shared, backend)
     serving = ServingHandler(
         gate=AdmissionGate(
             settings.backend.slots,
@@ -244,8 +247,11 @@
         vm_id=context.vm_id,
         read_document=lambda: shared.configuration.document,
         check_ready=check_ready,
-        crashes=_build_crash_monitor(context, shared, backend),
+        crashes=crashes,
     )
+    cold_start = ColdStartMonitor(settings.vm.service, serving, backend, clock)
+    serving.on_wait = cold_start.request_check
+    crashes.on_crash = serving.gate.cold_start.note_restart
 
     def serve_locally(call: LocalCall, head: CallHead) -> None:
         context.tasks.start_soon(at_most_once.serve, call, head)
@@ -288,6 +294,7 @@
             backend, serving, settings.timing.poll_ms, on_drain=shared.peers.set_leaving
         ),
         serving=serving,
+        cold_start=cold_start,
         at_most_once=at_most_once,
         entry=entry,
         callers=CallerListener(entry, context.tasks.start_soon, settings.tls),
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -15,13 +15,19 @@
     AdmissionLevel,
     Dispatch,
     Outcome,
-    Queued,
     Refuse,
     Ticket,
 )
 from wisteria_config import Document
 from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
-from wisteria_wire import INLINE_BODY_BYTES, AnswerHead, CallHead, CallScope, HttpCall
+from wisteria_wire import (
+    CONNECT_FAILED,
+    INLINE_BODY_BYTES,
+    AnswerHead,
+    CallHead,
+    CallScope,
+    HttpCall,
+)
 
 from .answers import refusal_to_head
 from .backend import BackendServer
@@ -97,6 +103,8 @@
         Whether the backend server is leaving, while the daemon may stay.
     is_evacuated : bool
         Whether operators have evacuated the failure domain of this VM.
+    on_wait : callable
+        Called when a call has to wait, or is refused for want of room.
     """
 
     gate: AdmissionGate
@@ -112,6 +120,7 @@
     is_stopping: bool = False
     is_draining: bool = False
     is_evacuated: bool = False
+    on_wait: Callable[[], None] = lambda: None
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
     _next_id: int = 0
@@ -208,6 +217,13 @@
         self.is_evacuated = is_evacuated
         if is_evacuated:
             self._apply_actions(self.gate.drain(self.clock.now_ms(), EVACUATED))
+        else:
+            # servers of an evacuated domain may have become cold
+            self.gate.cold_start.note_restart()
+
+    def start_queued(self) -> None:
+        """Start queued calls that need not wait any more."""
+        self._apply_actions(self.gate.tick(self.clock.now_ms()))
 
     async def _serve_within(self, call_id: int, served: _ServedCall) -> None:
         refusal = self.check(served.head) or await self._admit(call_id, served)
@@ -281,18 +297,19 @@
             is_child=head.hops > 0,
             rank_span=head.rank_span,
         )
-        offer = self.gate.offer(self.clock.now_ms(), ticket)
+        now_ms = self.clock.now_ms()
+        self.gate.cold_start.note_instance(head.instance)
+        offer = self.gate.offer(now_ms, ticket)
         self._apply_actions(offer.evicted)
-        match offer.verdict:
-            case Dispatch():
-                return None
-            case Queued():
-                if self.gate.is_rate_limited:
-                    self._waits_for_token.set()
-                await served.decided.wait()
-                return served.verdict
-            case refusal:
-                return refusal
+        if isinstance(offer.verdict, Dispatch):
+            return None
+        self.on_wait()
+        if isinstance(offer.verdict, Refusal):
+            return offer.verdict
+        if self.gate.rate_per_s(now_ms) is not None:
+            self._waits_for_token.set()
+        await served.decided.wait()
+        return served.verdict
 
     def _apply_actions(self, actions: list[Action] | tuple[Refuse, ...]) -> None:
         """Pass the gate's decisions to the waiting calls."""
@@ -319,6 +336,10 @@
         served.phase = _Phase.SENT
         served.sent_at_ms = self.clock.now_ms()
         http_call = await self.backend.send(call)
+        if http_call is CONNECT_FAILED:
+            self.gate.cold_start.note_restart()
+        elif not isinstance(http_call, Refusal):
+            self.gate.cold_start.note_answer(self.clock.now_ms())
         if isinstance(http_call, Refusal):
             served.outcome = Outcome.ERROR
             if http_call.run_state is not RunState.NOT_RUN:
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -2,7 +2,7 @@
 
 from .body import BodyStream, collect_body
 from .const import CALLER_BACKLOG, INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
-from .http_client import HttpCall, HttpClientPool, HttpResponse, encode_request
+from .http_client import CONNECT_FAILED, HttpCall, HttpClientPool, HttpResponse, encode_request
 from .http_server import CallerLimits, HttpExchange, HttpRequest, HttpServerConnection
 from .link import Link, LinkHandler, PendingCall, ServedCall
 from .models import AnswerHead, CallHead, Hello
@@ -12,6 +12,7 @@
 
 __all__ = [
     "CALLER_BACKLOG",
+    "CONNECT_FAILED",
     "INLINE_BODY_BYTES",
     "MAX_REQUEST_BODY_BYTES",
     "AnswerHead",
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -12,6 +12,7 @@
 import httptools
 
 APP, STORE = 8005, 8006
+HEALTH_PATH = "/healthz"
 
 
 @attrs.define
@@ -265,6 +266,12 @@
         Returns a reply to send instead of a signed success, or None.
     headers : dict of str to str
         Added to each answer.
+    cold_until : float
+        Time of the event loop until which it is cold, as its health endpoint says.
+    arrivals : list of float
+        Times of the event loop at which requests that it counts arrived, health checks included.
+    checks : int
+        Health checks.
     """
 
     def __init__(self, host: str, instance: str) -> None:
@@ -272,6 +279,9 @@
         self.headers: dict[str, str] = {}
         self.http = HttpStandin(host, APP, self._handle)
         self.ran: list[Request] = []
+        self.cold_until = 0.0
+        self.arrivals: list[float] = []
+        self.checks = 0
         self.answer: Callable[[Request], Awaitable[Reply | None]] | None = None
 
     def sign(self, request: Request, status: int = 200, body: bytes = b"yield") -> Reply:
@@ -282,10 +292,21 @@
         }
         return Reply(status, headers, body)
 
+    def _report_health(self) -> Reply:
+        remaining_s = self.cold_until - asyncio.get_running_loop().time()
+        headers = {"Wisteriaproxy-Instance-Id": self.instance}
+        if remaining_s > 0:
+            headers["Wisteriaproxy-Cold-Ms"] = str(round(remaining_s * 1_000))
+        return Reply(200, headers)
+
     async def _handle(self, request: Request) -> Reply:
         expected = request.headers.get("wisteriaproxy-target-instance")
         if expected not in (None, self.instance):
             return Reply(421, {"Wisteriaproxy-Instance-Id": self.instance})
+        self.arrivals.append(asyncio.get_running_loop().time())
+        if request.target == HEALTH_PATH:
+            self.checks += 1
+            return self._report_health()
         reply = await self.answer(request) if self.answer is not None else None
         if reply is None or "Wisteriaproxy-Not-Executed" not in reply.headers:
             self.ran.append(request)
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -236,6 +236,8 @@
 [bounds]
 grace_s = 6
 strict_revocation = {str(strict_revocation).lower()}
+cold_overage = 1.5
+cold_slack = 8
 [timing]
 read_timeout_ms = 300
 backoff_first_ms = 20
