Serve child calls during a planned stop; start with no burst for a cold server

Change: the bucket starts empty. The listener stays open until the calls on the backend server have ended; clients are refused as not run, with Connection: close.

Tests (failed first): test_calls_that_run_during_a_planned_stop_may_make_child_calls, test_a_daemon_that_has_started_sends_no_burst.

--- a/libs/admission/src/wisteria_admission/cold_start.py
+++ b/libs/admission/src/wisteria_admission/cold_start.py
@@ -56,8 +56,9 @@
         if limit is None:
             self._bucket = None
         elif self._bucket is None:
+            # empty, as the daemon before a restart may just have sent the server a burst
             self._bucket = TokenBucket(limit.per_s, limit.burst)
-            self._bucket.reset(now_ms, limit.burst)
+            self._bucket.reset(now_ms, 0.0)
         else:
             self._bucket.set_rate(now_ms, limit.per_s, limit.burst)
 
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -355,6 +355,9 @@
     def _answer_refusal(
         self, request: HttpRequest, request_id: str, refusal: Refusal
     ) -> ResultCode:
+        if refusal.code is ResultCode.STOPPING:
+            # later requests on the connection would be refused as well
+            request.exchange.keep_alive = False
         answer = self.dialect.make_refusal(refusal, request_id)
         request.exchange.answer(answer.status, answer.headers, answer.body)
         return refusal.code
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import signal
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -370,18 +371,18 @@
         self.serving.begin_stop()
         self.exchange.announce_leaving()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
-        await self.callers.async_unload()
         with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_FRACTION):
-            is_busy = True
-            while is_busy:
-                await anyio.sleep(_STOP_POLL_S)
-                is_busy = self._count_in_flight() > 0
+            # calls that run on the backend server may make child calls through this daemon
+            await _wait_for_end(lambda: self.serving.in_flight)
+            await self.callers.async_unload()
+            await _wait_for_end(self._count_in_flight)
         cut = self._count_in_flight()
         if cut:
             _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
             self.entry.cancel_all()
             self.serving.cancel_all()
             await anyio.sleep(_STOP_POLL_S)
+        await self.callers.async_unload()
         self.call_tasks.cancel_all()
         await self.links.async_unload()
         await self.backend.async_unload()
@@ -505,6 +506,14 @@
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
 
 
+async def _wait_for_end(count_calls: Callable[[], int]) -> None:
+    """Wait until no call is counted any more."""
+    is_busy = True
+    while is_busy:
+        await anyio.sleep(_STOP_POLL_S)
+        is_busy = count_calls() > 0
+
+
 def _read_mtime(path: Path) -> int:
     try:
         return path.stat().st_mtime_ns
--- a/tests/admission/test_cold_start.py
+++ b/tests/admission/test_cold_start.py
@@ -170,6 +170,11 @@
     assert cold_start.wait_ms(COLD_MS, 1_000) == 0
 
 
+# guards against a second burst within a second, by a daemon that has just been started again
+def test_a_daemon_that_has_started_sends_no_burst() -> None:
+    assert send_all(make_cold_start(), 0) == 0
+
+
 # guards against overloading a server that starts under load, which crashes it again and again
 def test_the_gate_sends_a_cold_server_its_rate_and_a_warm_one_all() -> None:
     gate = make_gate()
@@ -178,10 +183,10 @@
         verdict = gate.offer(now_ms, make_ticket(number, now_ms)).verdict
         if isinstance(verdict, Dispatch):
             started[now_ms // SECOND_MS] += 1
-            gate.cold_start.note_answer(now_ms)
         actions = gate.tick(now_ms)
         started[now_ms // SECOND_MS] += sum(isinstance(one, Dispatch) for one in actions)
         for call in list(gate._short.running):
+            gate.cold_start.note_answer(now_ms)
             gate.release(now_ms, call, Outcome.SUCCESS, 5)
     assert all(
         count <= LIMIT.per_s + LIMIT.burst for second, count in started.items() if second < 3
--- a/tests/platform/test_cold_start.py
+++ b/tests/platform/test_cold_start.py
@@ -122,6 +122,7 @@
     mesh.publish(make_config(routes=ROUTES, services=SERVICES))
     (node,) = await mesh.add_ready(1)
     for _ in range(3):
+        await anyio.sleep(1.5 / COLD_PER_S)
         assert (await mesh.call(node, "/parts/1")).status == 200
     assert node.upstream.checks == 0
 
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -110,6 +110,48 @@
     assert len(other.upstream.ran) == 2
 
 
+# guards against failing a call that was accepted before a planned stop and then makes child calls
+async def test_calls_that_run_during_a_planned_stop_may_make_child_calls(mesh: Mesh) -> None:
+    parts = {**make_route("parts", "/parts/", "idempotent"), "public": True}
+    mesh.publish(make_config(routes=[*LONG_ROUTES, parts]))
+    (stopping,) = await mesh.add_ready(1)
+    other = await mesh.add_node()
+    await wait_until(lambda: len(stopping.daemon.vm_list or ()) == 2)
+    begun = anyio.Event()
+    children: list[Reply] = []
+
+    async def answer(request: Request) -> Reply | None:
+        if not request.target.startswith("/yields/"):
+            return None
+        begun.set()
+        for _ in range(5):
+            await anyio.sleep(0.1)
+            left_ms = int(request.headers["wisteriaproxy-timeout-ms"])
+            children.append(
+                await mesh.call(stopping, "/parts/1", timeout_ms=left_ms, authorization="")
+            )
+        return None
+
+    stopping.upstream.answer = answer
+    found: list[int] = []
+
+    async def call() -> None:
+        found.append((await mesh.call(stopping, "/yields/1", timeout_ms=9_000)).status)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        with anyio.move_on_after(5):
+            await begun.wait()
+        stopping.daemon.start_drain()
+        await anyio.sleep(0.05)
+        refused = await mesh.call(stopping, "/yields/2")
+    assert found == [200]
+    assert [child.status for child in children] == [200] * 5
+    assert refused.status == 503
+    assert refused.headers["connection"] == "close"
+    assert len(other.upstream.ran) >= 5
+
+
 # guards against calls that other daemons may send after the entry of a drained server is removed
 async def test_a_drained_server_gets_no_calls_after_its_removal(mesh: Mesh) -> None:
     mesh.publish(make_config())
