Move calls that no backend server has received without using up a retry

Cause: for a second or two after a daemon has stopped or died, a quarter of the child calls of a small service were sent to it and failed with "could not be reached", as routes of internal calls allow one attempt; each such call failed its whole tree.

Change: a call that ended before any server received it (link down, daemon stopping, server leaving or without connection) goes on to another server at once, at most three times, and consumes neither the route's attempts, which count servers, nor the retry budget.

Test (failed first): test_a_call_that_no_server_has_received_moves_at_once_and_costs_nothing.

--- a/libs/routing/src/wisteria_routing/retries.py
+++ b/libs/routing/src/wisteria_routing/retries.py
@@ -27,8 +27,17 @@
         ResultCode.INTERNAL,
     }
 )
+_UNREACHED = frozenset(
+    {
+        ResultCode.BACKEND_SERVER_FAILED,
+        ResultCode.BACKEND_SERVER_LEAVING,
+        ResultCode.LINK_LOST,
+        ResultCode.STOPPING,
+    }
+)
+"""Codes which together with "not run" mean that the call has not been sent to a backend server."""
 MAX_MOVES = 3
-"""Attempts of a call that may be turned away because the server is leaving or evacuated."""
+"""Attempts of a call that may end before a backend server has received it."""
 _RETRY_AFTER_CODES = _RETRIABLE | {ResultCode.RETRIES_EXHAUSTED}
 
 
@@ -51,7 +60,7 @@
     """Decide whether a failed attempt is retried.
 
     A retry consumes one retry of `allowance` and one token of `budget`; giving up consumes none,
-    and neither does a call that the daemon beside a leaving or evacuated server turned away.
+    and neither does moving a call that no backend server has received.
 
     Parameters
     ----------
@@ -93,7 +102,7 @@
 def _is_move(attempt: Attempt) -> bool:
     if attempt.moves >= MAX_MOVES or attempt.failure.run_state is not RunState.NOT_RUN:
         return False
-    return attempt.failure.code is ResultCode.BACKEND_SERVER_LEAVING
+    return attempt.failure.code in _UNREACHED
 
 
 def _delay_ms(number: int, random: Random, config: RetryConfig) -> int:
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -18,6 +18,9 @@
 
 NOT_RUN = Refusal(ResultCode.QUEUE_FULL, "the queue is full", RunState.NOT_RUN, 70)
 LEAVING = Refusal(ResultCode.BACKEND_SERVER_LEAVING, "it is evacuated", RunState.NOT_RUN)
+LINK_DOWN = Refusal(ResultCode.LINK_LOST, "the VM can't be reached", RunState.NOT_RUN)
+DAEMON_STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", RunState.NOT_RUN)
+NO_CONNECTION = Refusal(ResultCode.BACKEND_SERVER_FAILED, "no connection", RunState.NOT_RUN)
 UNKNOWN = Refusal(ResultCode.LINK_LOST, "the link was lost", RunState.UNKNOWN)
 RAN = Refusal(ResultCode.BACKEND_SERVER_FAILED, "it answered 500", RunState.RAN)
 ATTEMPT = Attempt(1, frozenset({VmId("vm-1")}), NOT_RUN, False, 1_000, alternatives=2)
@@ -83,10 +86,14 @@
     assert spent == budget.config.burst - 1
 
 
-# guards against refusing calls of a long queue, and spending retries, because a server was emptied
-def test_a_call_that_a_leaving_server_turned_away_moves_at_once_and_costs_nothing() -> None:
+# guards against refusing calls of a long queue, and spending retries, because a server was emptied,
+# and against failing the parents of child calls because a daemon nearby has been stopped or killed
+@pytest.mark.parametrize("failure", [LEAVING, LINK_DOWN, DAEMON_STOPPING, NO_CONNECTION])
+def test_a_call_that_no_server_has_received_moves_at_once_and_costs_nothing(
+    failure: Refusal,
+) -> None:
     allowance, budget = RetryAllowance(0), RetryBudget()
-    attempt = attrs.evolve(ATTEMPT, failure=LEAVING)
+    attempt = attrs.evolve(ATTEMPT, failure=failure)
     before = attrs.asdict(budget)
     decision = decide_retry(0, attempt, allowance, budget, Random(1))
     assert decision == Retry(0, ATTEMPT.tried, is_move=True)
