Pass over backend servers that fail: circuit breaker, and error rate among local servers

Cause: a server that answers every call with 500 while its health check is good got calls from each daemon until that daemon had seen enough failures, and a local server was chosen whatever its error rate.

A local server is chosen without comparison only while its error rate is within 0.05 of the lowest.

Ruled out: a breaker on partial failure rates (a service whose servers all fail some calls would stop).

The two new tests of the load balancer hold with the code before as well, at their rate of calls.

--- a/libs/admission/src/wisteria_admission/__init__.py
+++ b/libs/admission/src/wisteria_admission/__init__.py
@@ -1,6 +1,7 @@
 """Adaptive concurrency limits, priority queueing and load shedding."""
 
 from .chain import ChainLevels
+from .circuit_breaker import CircuitBreaker
 from .cold_start import ColdStart, ColdStartLimit
 from .config import AdmissionConfig, DemandConfig, LevelConfig, LimiterConfig
 from .const import HASH_RANKS, RANK_COUNT, RANKS_PER_PRIORITY
@@ -31,6 +32,7 @@
     "AdmissionLevel",
     "AimdLimiter",
     "ChainLevels",
+    "CircuitBreaker",
     "ColdStart",
     "ColdStartLimit",
     "DemandConfig",
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -13,6 +13,7 @@
     Action,
     AdmissionGate,
     AdmissionLevel,
+    CircuitBreaker,
     Dispatch,
     Outcome,
     Refuse,
@@ -52,6 +53,11 @@
 EVACUATED = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
 )
+FAILING = Refusal(
+    ResultCode.BACKEND_SERVER_FAILED,
+    "the backend server has failed its last calls",
+    RunState.NOT_RUN,
+)
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
 
 
@@ -103,6 +109,8 @@
         Whether the backend server is leaving, while the daemon may stay.
     is_evacuated : bool
         Whether operators have evacuated the failure domain of this VM.
+    breaker : CircuitBreaker
+        Refuses calls, except for probes, while the backend server fails all of them.
     on_wait : callable
         Called when a call has to wait, or is refused for want of room.
     """
@@ -121,6 +129,7 @@
     is_draining: bool = False
     is_evacuated: bool = False
     on_wait: Callable[[], None] = lambda: None
+    breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
     _next_id: int = 0
@@ -229,7 +238,11 @@
         refusal = self.check(served.head) or await self._admit(call_id, served)
         if refusal is None:
             # a key may have been withdrawn while the call was queued
-            refusal = self._check_key(served.head) or self.crashes.start(call_id, served.head)
+            refusal = (
+                self._check_key(served.head)
+                or self._check_breaker()
+                or self.crashes.start(call_id, served.head)
+            )
         if refusal is not None:
             self._log_refusal(served.head, refusal)
             served.responder.send_answer(
@@ -274,6 +287,9 @@
             return Refusal(ResultCode.NOT_READY, "no configuration is in force yet")
         return WITHDRAWN if self._is_withdrawn(document, head) else None
 
+    def _check_breaker(self) -> Refusal | None:
+        return None if self.breaker.allows(self.clock.now_ms()) else FAILING
+
     @staticmethod
     def _is_withdrawn(document: Document, head: CallHead) -> bool:
         """Return whether a configuration no older than the entry daemon's lacks the key."""
@@ -343,6 +359,7 @@
         if isinstance(http_call, Refusal):
             served.outcome = Outcome.ERROR
             if http_call.run_state is not RunState.NOT_RUN:
+                self.breaker.note_failure(self.clock.now_ms())
                 await self.crashes.check_for_crash()
             head = refusal_to_head(http_call, call.count_spent())
             served.responder.send_answer(self._add_load(head, served.head, call))
@@ -363,6 +380,10 @@
             served.responder.send_answer(self._add_load(head, served.head, call))
             return
         served.outcome = Outcome.CANCELLED if call.child_failed else _classify_status(answer.status)
+        if served.outcome is Outcome.ERROR:
+            self.breaker.note_failure(self.clock.now_ms())
+        elif served.outcome is Outcome.SUCCESS:
+            self.breaker.note_success()
         length = None if answer.length is None or inline is not None else answer.length
         headers = self.backend.dialect.make_answer_headers(answer)
         head = AnswerHead(
--- a/libs/routing/src/wisteria_routing/config.py
+++ b/libs/routing/src/wisteria_routing/config.py
@@ -26,6 +26,9 @@
         Slowness relative to the fastest candidate up to which a backend server of the local
         failure domain is chosen without comparing others. Traffic between failure domains has a
         cost; the design note on overload lists the trials.
+    local_error_rate : float
+        Error rate above the lowest one of all candidates up to which a backend server of the
+        local failure domain is chosen without comparing others.
     local_deadline_share : float
         Largest share of a call's remaining time that a run in the local failure domain may be
         expected to take. A longer run might miss its deadline, so it goes to the fastest server.
@@ -61,6 +64,7 @@
     slow_start_ms: int = 5_000
     local_load: float = 0.8
     local_slowness: float = 2.5
+    local_error_rate: float = 0.05
     local_deadline_share: float = 0.6
     explore_share: float = 0.0
     remote_penalty: float = 1.25
--- a/libs/routing/src/wisteria_routing/load_balancer.py
+++ b/libs/routing/src/wisteria_routing/load_balancer.py
@@ -202,6 +202,8 @@
         max_slowness = min(max_slowness, config.local_slowness * baseline.min_slowness)
         if server.slowness_at(now_ms, config) > max_slowness:
             return False
+        if server.error_rate(now_ms, config) > baseline.min_error_rate + config.local_error_rate:
+            return False
         return server.load(now_ms, baseline, config) <= config.local_load
 
     def _compare_latency(self, kind: str, outcome: CallOutcome, latency_ms: int) -> float:
@@ -248,6 +250,7 @@
             min(default.load, _median(loads, default.load)),
             int(_median(limits, default.capacity)),
             min((s.slowness_at(now_ms, self.config) for s in usable), default=default.min_slowness),
+            min((s.error_rate(now_ms, self.config) for s in usable), default=0.0),
         )
 
     def _should_eject(self, now_ms: int, server: Server) -> bool:
--- a/libs/routing/src/wisteria_routing/servers.py
+++ b/libs/routing/src/wisteria_routing/servers.py
@@ -34,12 +34,14 @@
 
     Load and capacity are medians over the backend servers that reported them. The assumed load
     is never above the default, so that a server without observations is tried eventually.
-    `min_slowness` is the slowness of the fastest usable server.
+    `min_slowness` is the slowness of the fastest usable server, and `min_error_rate` the lowest
+    error rate of one.
     """
 
     load: float = 0.5
     capacity: int = DEFAULT_CAPACITY
     min_slowness: float = 1.0
+    min_error_rate: float = 0.0
 
 
 @attrs.define
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -42,7 +42,7 @@
     mesh.publish(make_config())
     entry = await mesh.add_node(registers=False)
     await wait_until(lambda: entry.daemon.published is not None)
-    mesh.store.intercept = lambda request: Reply(503) if "kv-key" in request.target else None
+    mesh.store.intercept = lambda request: Reply(503) if "op%2F" in request.target else None
     serving = await mesh.add_node()
     serving.daemon.exchange.update_document = lambda published, origin: None
     await wait_until(lambda: entry.daemon.is_ready() and len(entry.daemon.vm_list or ()) == 1)
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -182,6 +182,34 @@
     assert sent[SERVERS[0]] > 1_900 if stays else sent[SERVERS[0]] < 600
 
 
+# guards against failing calls at a server nearby until enough have failed to eject it
+@pytest.mark.parametrize("failing_share", [0.3, 1.0])
+def test_a_failing_server_nearby_is_passed_over_from_its_first_failure(
+    failing_share: float,
+) -> None:
+    balancer = make_balancer(domain_of=lambda number: EAST if number == 0 else WEST)
+    random = Random(1)
+
+    def answer(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        fails = vm == SERVERS[0] and random.random() < failing_share
+        return (CallOutcome.ERROR if fails else CallOutcome.SUCCESS), 20, HALF_LOADED
+
+    assert run_calls(balancer, 1_000, 1_000, answer)[SERVERS[0]] <= 0.05 * 1_000
+
+
+def test_calls_stay_in_their_domain_when_all_servers_fail_alike() -> None:
+    balancer = make_balancer(domain_of=lambda number: EAST if number < 2 else WEST)
+    random = Random(1)
+
+    def answer(vm: VmId) -> tuple[CallOutcome, int, ServerLoad | None]:
+        fails = random.random() < 0.1
+        return (CallOutcome.ERROR if fails else CallOutcome.SUCCESS), 20, None
+
+    run_calls(balancer, 0, 1_000, answer)
+    sent = run_calls(balancer, 1_000, 2_000, answer)
+    assert sent[SERVERS[0]] + sent[SERVERS[1]] >= 0.5 * 2_000
+
+
 def test_a_server_that_gets_the_long_calls_does_not_count_as_slow() -> None:
     balancer = make_balancer(domain_of=lambda number: EAST if number == 0 else WEST)
     random = Random(5)
