Limit a cold backend server also before the first configuration

Change: until the first configuration a rate of 5 calls/s holds.

Test (failed first, 97 calls in a second): test_a_daemon_without_configuration_holds_its_server_to_a_low_rate.

--- a/libs/daemon/src/wisteriaproxy/cold_start.py
+++ b/libs/daemon/src/wisteriaproxy/cold_start.py
@@ -15,6 +15,8 @@
 from .serving import ServingHandler
 
 _LOGGER = logging.getLogger(__name__)
+UNCONFIGURED_LIMIT = ColdStartLimit(per_s=5.0, burst=1.0, duration_ms=5_000)
+"""Limit until the first configuration is known: calls of daemons that have it may come earlier."""
 BURST_FRACTION = 0.5
 """Fraction of the permitted slack that may be sent at once; calls that the network delays may
 arrive together with later ones."""
@@ -44,6 +46,9 @@
     _vm: Vm | None = None
     _wanted: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        self._cold_start.set_limit(self.clock.now_ms(), UNCONFIGURED_LIMIT)
+
     def apply_document(self, document: Document) -> None:
         """Apply the limit of the service."""
         found = next((one for one in document.services if one.name == self.service), None)
--- a/tests/platform/test_cold_start.py
+++ b/tests/platform/test_cold_start.py
@@ -169,6 +169,23 @@
         assert worst <= ALLOWED
 
 
+# guards against full load on a cold server whose daemon doesn't have the configuration yet
+async def test_a_daemon_without_configuration_holds_its_server_to_a_low_rate(mesh: Mesh) -> None:
+    entry, *_ = await start(mesh, 1)
+    mesh.store.intercept = lambda request: Reply(503) if "op%2F" in request.target else None
+    new = await mesh.add_node(registers=False)
+    new.daemon.exchange.update_document = lambda published, origin: None
+    new.upstream.cold_until = now_s() + COLD_START_S
+    started_s = now_s()
+    mesh.register(new)
+    await wait_until(lambda: len(entry.daemon.vm_list or ()) == 2)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(4):
+            tasks.start_soon(offer_load, mesh, [entry], COLD_START_S)
+    assert new.daemon.published is None
+    assert 0 < count_worst_second(new.upstream, started_s, new.upstream.cold_until) <= ALLOWED
+
+
 # guards against a health answer of another process, a malformed one, and none at all
 @pytest.mark.parametrize(
     "reply",
