Tell refused callers to come back when a cold server is warm

Cause: after a loss of power a cold server's gate refused with a Retry-After of a few hundred ms; callers, most of which repeat once, came back while it was still cold and were refused for good.

Change: while the end of the cold phase is known, refusals of the gate name the time until then.

Test (failed first): test_callers_are_told_to_return_when_the_server_is_warm.

--- a/libs/admission/src/wisteria_admission/cold_start.py
+++ b/libs/admission/src/wisteria_admission/cold_start.py
@@ -98,6 +98,10 @@
         """Return whether calls are limited now."""
         return self.limit is not None and now_ms < self._until_ms
 
+    def remaining_ms(self, now_ms: int) -> float:
+        """Return the time until the server is warm; 0 if it is, infinite if not known."""
+        return max(0.0, self._until_ms - now_ms) if self.limit is not None else 0.0
+
     def is_check_due(self, now_ms: int) -> bool:
         """Return whether the health endpoint should be asked for the remaining cold time.
 
--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -404,8 +404,13 @@
         """Return a refusal; its Retry-After covers the queue and is spread against bursts."""
         drain_ms = self._wait_ms(now_ms, self._short, len(self._short.queue))
         spread = 1.0 + (ticket.rank % HASH_RANKS) / HASH_RANKS
-        after_ms = int((MIN_RETRY_AFTER_MS + drain_ms) * spread)
-        return Refusal(code, reason, retry_after_ms=min(self.config.max_retry_after_ms, after_ms))
+        after_ms = (MIN_RETRY_AFTER_MS + drain_ms) * spread
+        cold_ms = self.cold_start.remaining_ms(now_ms)
+        if cold_ms < math.inf:
+            # earlier, only a few of those that are refused now would find room
+            after_ms = max(after_ms, cold_ms + MIN_RETRY_AFTER_MS * spread)
+        bounded_ms = int(min(self.config.max_retry_after_ms, after_ms))
+        return Refusal(code, reason, retry_after_ms=bounded_ms)
 
     def _pool_of(self, call_id: Hashable) -> _Pool | None:
         for pool in (self._short, self._long):
--- a/tests/admission/test_cold_start.py
+++ b/tests/admission/test_cold_start.py
@@ -205,6 +205,17 @@
     assert first.call_id == 10
 
 
+# guards against callers that use up their only retry while the server is still cold
+def test_callers_are_told_to_return_when_the_server_is_warm() -> None:
+    gate = make_gate()
+    gate.cold_start.note_check(0)
+    gate.cold_start.note_stated(0, 1_500)
+    verdicts = [gate.offer(100, make_ticket(n, 100)).verdict for n in range(SLOTS)]
+    advice = [one.retry_after_ms for one in verdicts if isinstance(one, Refusal)]
+    assert advice
+    assert all(after_ms is not None and 1_400 <= after_ms <= 1_500 for after_ms in advice)
+
+
 def test_calls_beyond_a_short_queue_are_refused_at_once() -> None:
     gate = make_gate()
     send_all(gate.cold_start, 0)
