--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -17,7 +17,7 @@
 from wisteriaproxy.settings import SettingsErrors, parse_settings_of
 from wrdsc.main import PLATFORM
 
-from .standins import APP, STORE, Reply, Store, Upstream
+from .standins import APP, STORE, Reply, Request, Store, Upstream
 
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
 FIRST_SUBNET = 20
@@ -248,6 +248,18 @@
         return settings
 
 
+def hold_answers(node: Node) -> anyio.Event:
+    """Make the backend server of a node answer only once the returned event is set."""
+    released = anyio.Event()
+
+    async def answer(_request: Request) -> Reply | None:
+        await released.wait()
+        return None
+
+    node.upstream.answer = answer
+    return released
+
+
 def read_reply(data: bytes) -> Reply:
     """Parse the answer received on a connection; status 0 if there is none."""
     head, _, body = data.partition(b"\r\n\r\n")
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -6,8 +6,7 @@
 from wisteria_core import FailureDomain
 from wisteriaproxy.mesh.roster import RECOVERY_GRACE_MS
 
-from .standins import Reply, Request
-from .support import Mesh, Node, make_config, make_route, wait_until
+from .support import Mesh, Node, hold_answers, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -78,13 +77,7 @@
     mesh.register(leaving, zone="south", slots=1, sequence=2)
     gate = leaving.daemon.serving.gate
     await wait_until(lambda: gate.slots == 1)
-    released = anyio.Event()
-
-    async def answer(_request: Request) -> Reply | None:
-        await released.wait()
-        return None
-
-    leaving.upstream.answer = answer
+    released = hold_answers(leaving)
     found: list[int] = []
 
     async def call() -> None:
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -8,7 +8,7 @@
 from wisteriaproxy.mesh.roster import RECOVERY_GRACE_MS
 
 from .standins import Reply, Request
-from .support import Mesh, Node, make_config, make_route, wait_until
+from .support import Mesh, Node, hold_answers, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -84,13 +84,7 @@
     mesh.register(leaving, slots=1, sequence=2)
     gate = leaving.daemon.serving.gate
     await wait_until(lambda: gate.slots == 1)
-    released = anyio.Event()
-
-    async def answer(_request: Request) -> Reply | None:
-        await released.wait()
-        return None
-
-    leaving.upstream.answer = answer
+    released = hold_answers(leaving)
     found: list[int] = []
 
     async def call() -> None:
