--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -63,11 +63,16 @@
 # guards against a run of a call whose sender doesn't know of the evacuation yet
 async def test_a_call_of_a_sender_that_does_not_know_yet_moves_without_a_run(mesh: Mesh) -> None:
     north, south = await start(mesh, 2)
-    before = count_runs(south)
+    # it prefers the server of its own failure domain
+    sender = await mesh.add_node(registers=False, zone="south")
+    await wait_until(lambda: sender.daemon.is_ready() and len(sender.daemon.vm_list or ()) == 2)
+    assert (await mesh.call(sender, "/orders/0", method="POST")).status == 200
+    assert count_runs(south) == 1
     south[0].daemon.serving.set_evacuated(True)
     for number in range(CALLS):
-        assert (await mesh.call(north[0], f"/orders/{number}", method="POST")).status == 200
-    assert count_runs(south) == before
+        assert (await mesh.call(sender, f"/orders/{number}", method="POST")).status == 200
+    assert count_runs(south) == 1
+    assert count_runs(north) >= CALLS
 
 
 # guards against queued calls that an evacuated server runs, and against dropping them
--- a/tests/platform/test_failing_server.py
+++ b/tests/platform/test_failing_server.py
@@ -6,18 +6,28 @@
 from wisteria_admission.circuit_breaker import OPEN_FAILURES, PROBE_INTERVAL_MS
 
 from .standins import Reply, Request
-from .support import Mesh, make_config, make_route
+from .support import Mesh, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
 MS_PER_S = 1_000
+CALLS = 240
+ENTRIES = 6
+"""Daemons that would each have to find out by themselves."""
 
 
 # guards against failing calls of each daemon until each has found out by itself
 async def test_calls_move_away_from_a_server_that_fails_all_of_them(mesh: Mesh) -> None:
     orders = {**make_route("orders", "/orders/", "non_idempotent"), "public": True}
     mesh.publish(make_config(routes=[orders]))
-    nodes = await mesh.add_ready(3)
+    nodes = await mesh.add_ready(3, ("south", "north", "north"))
+    # they prefer the server of their own failure domain
+    entries = [await mesh.add_node(registers=False, zone="south") for _ in range(ENTRIES)]
+    for entry in entries:
+        await wait_until(
+            lambda entry=entry: entry.daemon.is_ready()
+            and len(entry.daemon.vm_list or ()) == len(nodes)
+        )
     failing = nodes[0].upstream
 
     async def fail(request: Request) -> Reply | None:
@@ -26,8 +36,8 @@
     failing.answer = fail
     statuses = []
     started_s = anyio.current_time()
-    for number in range(120):
-        entry = nodes[number % len(nodes)]
+    for number in range(CALLS):
+        entry = entries[number % len(entries)]
         statuses.append((await mesh.call(entry, f"/orders/{number}", method="POST")).status)
     probes = (anyio.current_time() - started_s) * MS_PER_S / PROBE_INTERVAL_MS
     assert set(statuses) == {200, 500}
--- a/tests/routing/test_load_balancer.py
+++ b/tests/routing/test_load_balancer.py
@@ -197,6 +197,21 @@
     assert run_calls(balancer, 1_000, 1_000, answer)[SERVERS[0]] <= 0.05 * 1_000
 
 
+# guards against calls of a daemon that sees few, each of which fails, at the only server nearby
+def test_a_server_nearby_gets_no_call_for_a_while_after_a_failure() -> None:
+    balancer = make_balancer(domain_of=lambda number: EAST if number == 0 else WEST)
+    sent: list[VmId] = []
+    for now_ms in range(0, 2_000, 250):
+        vm = balancer.choose(now_ms)
+        assert not isinstance(vm, Refusal)
+        sent.append(vm)
+        balancer.note_sent(now_ms, vm)
+        outcome = CallOutcome.ERROR if vm == SERVERS[0] else CallOutcome.SUCCESS
+        balancer.note_answer(now_ms + 20, vm, outcome, 20, HALF_LOADED)
+    assert sent[0] == SERVERS[0]
+    assert SERVERS[0] not in sent[1:]
+
+
 def test_calls_stay_in_their_domain_when_all_servers_fail_alike() -> None:
     balancer = make_balancer(domain_of=lambda number: EAST if number < 2 else WEST)
     random = Random(1)
