--- a/review/standin_upstream.py
+++ b/review/standin_upstream.py
@@ -34,6 +34,7 @@
         self.work: Work = _answer_at_once
         self.ran: list[Request] = []
         self.running = 0
+        self.slots = SLOTS
         self.born = int(time.time() * 1_000)
         self.sequence = 1
         self._record = record
@@ -45,7 +46,7 @@
             "address": self.address,
             "zone": self.zone,
             "config_version": "1.0",
-            "slots": SLOTS,
+            "slots": self.slots,
             "state": "ready",
             "cold_remaining_s": 0,
             "sequence": self.sequence,
@@ -63,7 +64,7 @@
             return Reply(200, {"Wisteriaproxy-Instance-Id": self.name})
         if attempt is None:
             return Reply(400, {"Wisteriaproxy-Not-Executed": "1"})
-        if self.running >= SLOTS:
+        if self.running >= self.slots:
             return Reply(503, {**echo, "Wisteriaproxy-Not-Executed": "1"})
         self.ran.append(request)
         caller = request.headers.get("wisteriaproxy-caller-service", "-")
@@ -83,6 +84,6 @@
         headers = {
             **echo,
             "Wisteriaproxy-Response-Signature": f"s.{attempt}.{len(body)}",
-            "Wisteriaproxy-Server-Load": f"{self.running},0,{SLOTS}",
+            "Wisteriaproxy-Server-Load": f"{self.running},0,{self.slots}",
         }
         return Reply(200, headers, body)
