--- a/review/standin_upstream.py
+++ b/review/standin_upstream.py
@@ -23,6 +23,8 @@
     ----------
     work : callable
         Returns the body of the answer once the work is done.
+    is_leaving : bool
+        Whether it is about to exit: its answers then close their connections.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         self.ran: list[Request] = []
         self.running = 0
         self.slots = SLOTS
+        self.is_leaving = False
         self.born = int(time.time() * 1_000)
         self.sequence = 1
         self._record = record
@@ -86,4 +89,6 @@
             "Wisteriaproxy-Response-Signature": f"s.{attempt}.{len(body)}",
             "Wisteriaproxy-Server-Load": f"{self.running},0,{self.slots}",
         }
+        if self.is_leaving:
+            headers["Connection"] = "close"
         return Reply(200, headers, body)
