Install pbr before hdrhistogram's source build

script/setup failed on a machine that had not built hdrhistogram 0.10.8 before: built without isolation and without pbr, its source package calls itself version 0.0.0, and pip refuses it as a conflict with the pin. pbr now goes into the virtual environment beside setuptools, before it.

With pip's cache off (PIP_NO_CACHE_DIR=1), in a fresh clone, before: "Cannot install wisteria-standins ... conflicting dependencies" after 24 s.

--- a/script/env.sh
+++ b/script/env.sh
@@ -16,7 +16,8 @@
     local python="${PYTHON:-python3.11}"
     command -v "$python" >/dev/null || python=python3
     [ -x "$venv/bin/python" ] || "$python" -m venv "$venv"
-    "$venv/bin/pip" install -q -c "$root/constraints.txt" setuptools >&2
+    # The source build of hdrhistogram reads its version through pbr.
+    "$venv/bin/pip" install -q -c "$root/constraints.txt" setuptools pbr >&2
     local editables=()
     local lib
     for lib in "$root"/libs/*/; do
