Refuse entries of other writers that no control message can hold

Cause: what came from outside was checked less strictly than what the messages inside can hold. The entry was accepted, Cap'n Proto refused it when it was passed on (KjException), and an exception in the task that reads the store ended the task group, and so the process. The same holds for whole numbers of 2^63, a cold time of 1e306 s (OverflowError) and a host name with an empty label (UnicodeError when a link is opened).

- A message that can't be encoded, or fails in its handler, is counted and dropped; the protocols on top tolerate lost messages.
- Long-running tasks are started again after a failure; the source reads everything again then.

--- a/libs/daemon/src/wisteriaproxy/control/codec.py
+++ b/libs/daemon/src/wisteriaproxy/control/codec.py
@@ -27,13 +27,17 @@
 
     KIND = "unknown kind of control message"
     GARBLED = "control message can't be decoded"
+    OUT_OF_RANGE = "control message can't be encoded"
 
 
-def encode_control(message: Any) -> bytes:
-    """Return packed Cap'n Proto."""
+def encode_control(message: Any) -> bytes | ControlFault:
+    """Return packed Cap'n Proto, or the fault of a message with a value that the schema lacks."""
     cls = type(message)
     struct = getattr(_schema, cls.__name__)
-    return bytes(struct.new_message(**_to_dict(message)).to_bytes_packed())
+    try:
+        return bytes(struct.new_message(**_to_dict(message)).to_bytes_packed())
+    except (capnp.KjException, ArithmeticError, ValueError, TypeError):
+        return ControlFault.OUT_OF_RANGE
 
 
 def decode_control(kind: int, payload: bytes) -> Any | ControlFault:
--- a/libs/daemon/src/wisteriaproxy/control/plane.py
+++ b/libs/daemon/src/wisteriaproxy/control/plane.py
@@ -10,9 +10,9 @@
 from anyio.abc import TaskGroup
 
 from wisteria_core import Refusal, Vm, VmId
-from wisteria_wire import Link, LinkPool
+from wisteria_wire import Hello, Link, LinkPool
 
-from ..metrics import LINK_BYTES, Counts
+from ..metrics import CONTROL_REFUSED, LINK_BYTES, Counts
 from .codec import ControlFault, decode_control, encode_control
 from .kinds import KINDS, NUMBERS
 
@@ -33,6 +33,8 @@
         Returns a VM of the list in force, or None.
     pending_sends : int
         Number of messages that wait for a link to be opened.
+    refused : Counts
+        Messages that could not be encoded, decoded or processed.
     on_unreachable : callable
         Called with a VM to which no link could be opened for a message.
     """
@@ -47,6 +49,7 @@
     received_bytes: int = 0
     counts: Counter[str] = attrs.field(factory=Counter)
     link_bytes: Counts = attrs.field(factory=lambda: Counts(LINK_BYTES))
+    refused: Counts = attrs.field(factory=lambda: Counts(CONTROL_REFUSED))
     on_unreachable: Callable[[VmId], None] = lambda vm_id: None
     _handlers: dict[type[Any], Handler] = attrs.field(factory=dict)
 
@@ -62,7 +65,9 @@
             loop.call_soon(self._dispatch, vm_id, self.incarnation, message)
             return
         number = NUMBERS[type(message)]
-        payload = encode_control(message)
+        payload = self._encode(message)
+        if payload is None:
+            return
         link = self.links.find(vm_id)
         if link is not None:
             self._write(link, number, payload)
@@ -77,7 +82,9 @@
     def broadcast(self, message: Any) -> None:
         """Send to every peer with an open link."""
         number = NUMBERS[type(message)]
-        payload = encode_control(message)
+        payload = self._encode(message)
+        if payload is None:
+            return
         for link in self.links.list_links():
             self._write(link, number, payload)
 
@@ -89,7 +96,7 @@
         self._count_received(number, len(payload))
         message = decode_control(number, payload)
         if isinstance(message, ControlFault):
-            self.counts[message.name.lower()] += 1
+            self._count_fault(number, message, link.peer)
             if message is ControlFault.GARBLED:
                 link.close(message.value)
             return
@@ -100,14 +107,45 @@
         self.received_bytes += size
         self.link_bytes.add(("received", _get_kind_name(number)), size)
 
+    def _encode(self, message: Any) -> bytes | None:
+        payload = encode_control(message)
+        if isinstance(payload, ControlFault):
+            self._count_fault(NUMBERS[type(message)], payload, None)
+            return None
+        return payload
+
+    def _count_fault(self, number: int, fault: ControlFault, peer: Hello | None) -> None:
+        name = fault.name.lower()
+        self.counts[name] += 1
+        self.refused.add((_get_kind_name(number), name))
+        extra = {
+            "kind": _get_kind_name(number),
+            "reason": fault.value,
+            "peer": peer.vm_id if peer is not None else None,
+        }
+        _LOGGER.warning("control_message_refused", extra=extra)
+
     def _dispatch(self, sender: VmId, incarnation: int, message: Any) -> None:
         handler = self._handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(sender, incarnation, message)
+        except Exception:
+            # a lost message is tolerated, so that a failure must not close the sender's link
+            kind = type(message).__name__
+            self.counts["failed"] += 1
+            self.refused.add((kind, "failed"))
+            _LOGGER.exception("control_message_failed", extra={"kind": kind, "peer": sender})
 
     async def _dial_and_send(self, vm: Vm, number: int, payload: bytes) -> None:
         try:
             link = await self.links.obtain(vm)
+        except Exception:
+            # an exception would end every task of the daemon
+            self.refused.add((_get_kind_name(number), "failed"))
+            _LOGGER.exception("control_message_failed", extra={"peer": vm.vm_id})
+            return
         finally:
             self.pending_sends -= 1
         if isinstance(link, Refusal):
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -4,7 +4,8 @@
 import itertools
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -38,11 +39,20 @@
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
-from ..metrics import AUDIT_EVENTS, CONFIG_VERSION, IN_FLIGHT, LINK_FAULTS, READY, Metrics
+from ..metrics import (
+    AUDIT_EVENTS,
+    CONFIG_VERSION,
+    CONTROL_REFUSED,
+    IN_FLIGHT,
+    LINK_FAULTS,
+    READY,
+    TASK_FAILURES,
+    Metrics,
+)
 from ..responders import LocalCall
 from ..serving import ServingHandler
 from ..settings import SettingsErrors, load_settings_of
-from ..task_keeper import BackgroundTasks
+from ..task_keeper import BackgroundTasks, keep_running
 from .const import (
     ANSWER_GRACE_MS,
     GATE_TICK_MS,
@@ -143,7 +153,12 @@
             load_balancer_config=LOAD_BALANCER_CONFIG,
         )
         self.control = ControlPlane(
-            self.vm_id, self.incarnation, self.links, tasks, self.fleet.find_vm
+            self.vm_id,
+            self.incarnation,
+            self.links,
+            tasks,
+            self.fleet.find_vm,
+            refused=self.metrics.counter(CONTROL_REFUSED),
         )
         self.exchange = ReportExchange(
             self.vm_id,
@@ -343,15 +358,17 @@
         await self.operator_port.async_setup(listen.operators)
         await self.links.async_setup(*parse_address(listen.peers))
         await self.callers.async_setup(*parse_address(listen.callers))
-        for run in (
-            self.gaps.run,
-            self.serving.run_ticks,
-            self.cold_start.run,
-            self.exchange.run,
-            self._watch_settings,
-        ):
-            self.tasks.start_soon(run)
-        self.tasks.start_soon(self._source.run, self)
+        failures = self.metrics.counter(TASK_FAILURES)
+        runs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "gaps": self.gaps.run,
+            "gate": self.serving.run_ticks,
+            "cold_start": self.cold_start.run,
+            "control": self.exchange.run,
+            "settings": self._watch_settings,
+            "source": partial(self._source.run, self),
+        }
+        for name, run in runs.items():
+            self.tasks.start_soon(keep_running, name, run, failures)
         _LOGGER.info(
             "daemon_started",
             extra={
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -66,6 +66,24 @@
     "audit_events_total", "counter", "Records of the audit trail.", ("kind", "outcome")
 )
 LOOP_GAPS = Family("loop_gaps_total", "counter", "Pauses of the process beyond the bound.")
+CONTROL_REFUSED = Family(
+    "control_refused_total",
+    "counter",
+    "Control messages that could not be encoded, decoded or processed.",
+    ("kind", "reason"),
+)
+PLATFORM_REFUSED = Family(
+    "platform_refused_total",
+    "counter",
+    "Items of the platform whose content could not be read.",
+    ("resource",),
+)
+TASK_FAILURES = Family(
+    "task_failures_total",
+    "counter",
+    "Failures of long-running tasks, which were started again.",
+    ("task",),
+)
 
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
 CONCURRENCY_LIMIT = Family("concurrency_limit_calls", "gauge", "Limit of the calls in flight.")
@@ -87,6 +105,9 @@
     PLATFORM_READS,
     AUDIT_EVENTS,
     LOOP_GAPS,
+    CONTROL_REFUSED,
+    PLATFORM_REFUSED,
+    TASK_FAILURES,
 )
 GAUGES = (
     QUEUE_DEPTH,
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -18,6 +18,7 @@
 _RUN_STATE_INDEXES = {state: index for index, state in enumerate(_RUN_STATES)}
 _NO_RETRY_AFTER = -1
 _MAX_INT32 = 2**31 - 1
+_MAX_UINT16 = 2**16 - 1
 
 capnp.remove_import_hook()
 _schema: Any = capnp.load(str(_SCHEMA_FILE))
@@ -120,8 +121,8 @@
     if head.retry_after_ms is not None:
         message.retryAfterMs = min(head.retry_after_ms, _MAX_INT32)
     message.spent = head.spent
-    message.inFlight = head.in_flight
-    message.limit = head.limit
+    message.inFlight = min(head.in_flight, _MAX_UINT16)
+    message.limit = min(head.limit, _MAX_UINT16)
     message.body = head.body
     message.complete = head.complete
     message.leaving = head.leaving
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -165,7 +165,8 @@
                 await link.opened.wait()
             if not link.is_open:
                 raise ConnectionAbortedError("the peer closed the link before its hello")
-        except (OSError, TimeoutError, ssl.SSLError) as error:
+        # ValueError: a host name that can't be resolved, such as one with an empty label
+        except (OSError, TimeoutError, ssl.SSLError, ValueError) as error:
             link.close("dial failed")
             self._back_off(vm.vm_id)
             _LOGGER.info("link_failed", extra={"peer": vm.vm_id, "cause": type(error).__name__})
--- a/script/tools/control_target.py
+++ b/script/tools/control_target.py
@@ -47,4 +47,6 @@
 
 def size_on_link(message: object) -> int:
     """Return the size in bytes, with frame header and TLS record."""
-    return len(encode_control(message)) + FRAME_HEADER_BYTES + TLS_RECORD_BYTES
+    payload = encode_control(message)
+    assert isinstance(payload, bytes)
+    return len(payload) + FRAME_HEADER_BYTES + TLS_RECORD_BYTES
