Tell calls by service and process, and count those at the wrong one

call_refused names service and instance, vm_changed the service; call_misdirected and misdirected_calls_total show a backend server that rejects a call for another process. The mesh daemon also counted retries and backend calls without showing them; both are in its metrics now.

--- a/libs/daemon/src/wisteriaproxy/diagnostics.py
+++ b/libs/daemon/src/wisteriaproxy/diagnostics.py
@@ -23,6 +23,7 @@
     LINK_BYTES,
     LOANS,
     LOOP_GAP,
+    MISDIRECTED_CALLS,
     MS_PER_S,
     PEERS,
     QUEUE_DEPTH,
@@ -98,6 +99,7 @@
         self.shared.control.link_bytes = metrics.counter(LINK_BYTES)
         self.path.serving.backend_calls = metrics.counter(BACKEND_CALLS)
         self.path.entry.forwarder.retry_counts = metrics.counter(RETRIES)
+        self.path.serving.misdirected = metrics.counter(MISDIRECTED_CALLS)
 
     def count_queued(self) -> Series:
         """Count queued calls by priority."""
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -38,7 +38,17 @@
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
-from ..metrics import AUDIT_EVENTS, CONFIG_VERSION, IN_FLIGHT, LINK_FAULTS, READY, Metrics
+from ..metrics import (
+    AUDIT_EVENTS,
+    BACKEND_CALLS,
+    CONFIG_VERSION,
+    IN_FLIGHT,
+    LINK_FAULTS,
+    MISDIRECTED_CALLS,
+    READY,
+    RETRIES,
+    Metrics,
+)
 from ..responders import LocalCall
 from ..serving import ServingHandler
 from ..settings import SettingsErrors, load_settings_of
@@ -208,6 +218,9 @@
             crashes=crashes,
             needs_document=False,
             tick_ms=GATE_TICK_MS,
+            read_vm=lambda: self.fleet.find_vm(self.vm_id),
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
+            backend_calls=self.metrics.counter(BACKEND_CALLS),
         )
         self.cold_start = ColdStartMonitor(
             settings.vm.service,
@@ -222,7 +235,14 @@
         notices = NoticeHandler(self.serving.gate, self.exchange, clock)
         self.backend.on_notice = notices.handle
         forwarder = Forwarder(
-            self.fleet, self.exchange, self.links, clock, random, self.vm_id, self._serve_locally
+            self.fleet,
+            self.exchange,
+            self.links,
+            clock,
+            random,
+            self.vm_id,
+            self._serve_locally,
+            retry_counts=self.metrics.counter(RETRIES),
         )
         self.entry = EntryHandler(
             dialect=platform.caller_dialect(
@@ -331,8 +351,13 @@
     def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
         vm = after.get(vm_id)
         state = vm.state.value if vm is not None else "gone"
-        instance = vm.instance if vm is not None else ""
-        _LOGGER.info("vm_changed", extra={"vm": vm_id, "state": state, "instance": instance})
+        extra = {
+            "vm": vm_id,
+            "state": state,
+            "instance": vm.instance if vm is not None else "",
+            "service": vm.service if vm is not None else "",
+        }
+        _LOGGER.info("vm_changed", extra=extra)
 
     # running
 
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -50,6 +50,12 @@
 BACKEND_CALLS = Family(
     "backend_calls_total", "counter", "Calls sent to the backend server.", ("outcome",)
 )
+MISDIRECTED_CALLS = Family(
+    "misdirected_calls_total",
+    "counter",
+    "Calls not run because their VM runs another process or service, by where this was found.",
+    ("place",),
+)
 LINK_BYTES = Family(
     "link_bytes_total",
     "counter",
@@ -82,6 +88,7 @@
     CALLS,
     RETRIES,
     BACKEND_CALLS,
+    MISDIRECTED_CALLS,
     LINK_BYTES,
     LINK_FAULTS,
     PLATFORM_READS,
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -248,6 +248,7 @@
         read_document=lambda: shared.configuration.document,
         check_ready=check_ready,
         crashes=crashes,
+        read_vm=lambda: shared.fleet.find_vm(context.vm_id),
     )
     cold_start = ColdStartMonitor(settings.vm.service, serving, backend, clock)
     serving.on_wait = cold_start.request_check
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -20,7 +20,7 @@
     Ticket,
 )
 from wisteria_config import Document
-from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
+from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState, Vm
 from wisteria_wire import (
     CONNECT_FAILED,
     INLINE_BODY_BYTES,
@@ -35,7 +35,7 @@
 from .calls import CallRegistry, RunningCall
 from .const import ATTR_CODE, ATTR_REQUEST_ID
 from .crashes import CrashMonitor
-from .metrics import BACKEND_CALLS, Counts
+from .metrics import BACKEND_CALLS, MISDIRECTED_CALLS, Counts
 from .responders import Responder
 
 _LOGGER = logging.getLogger(__name__)
@@ -111,6 +111,8 @@
         Whether operators have evacuated the failure domain of this VM.
     breaker : CircuitBreaker
         Refuses calls, except for probes, while the backend server fails all of them.
+    read_vm : callable
+        Returns what the list of VMs names on this VM, or None if it doesn't name it.
     on_wait : callable
         Called when a call has to wait, or is refused for want of room.
     """
@@ -130,6 +132,8 @@
     is_evacuated: bool = False
     on_wait: Callable[[], None] = lambda: None
     breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
+    read_vm: Callable[[], Vm | None] = lambda: None
+    misdirected: Counts = attrs.field(factory=lambda: Counts(MISDIRECTED_CALLS))
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
     _next_id: int = 0
@@ -262,12 +266,27 @@
             ATTR_REQUEST_ID: head.request_id,
             ATTR_CODE: int(refusal.code),
             "reason": refusal.reason,
+            "service": head.service,
+            "instance": head.instance,
             "rank": head.rank,
             "time_ms": head.remaining_ms,
             **self.gate.describe(),
         }
         _LOGGER.info("call_refused", extra=extra)
 
+    def _note_other_process(self, head: CallHead) -> None:
+        """Count and log a call that the backend server rejected because it names another one."""
+        self.misdirected.add(("server",))
+        vm = self.read_vm()
+        extra = {
+            ATTR_REQUEST_ID: head.request_id,
+            "service": head.service,
+            "instance": head.instance,
+            "listed_service": vm.service if vm is not None else None,
+            "listed_instance": vm.instance if vm is not None else None,
+        }
+        _LOGGER.info("call_misdirected", extra=extra)
+
     def check(self, head: CallHead) -> Refusal | None:
         """Return the refusal of a call that may not be served now, or None."""
         if self.is_leaving:
@@ -357,6 +376,8 @@
         elif not isinstance(http_call, Refusal):
             self.gate.cold_start.note_answer(self.clock.now_ms())
         if isinstance(http_call, Refusal):
+            if http_call.code is ResultCode.NO_BACKEND_SERVER:
+                self._note_other_process(served.head)
             served.outcome = Outcome.ERROR
             if http_call.run_state is not RunState.NOT_RUN:
                 self.breaker.note_failure(self.clock.now_ms())
