Choose service, VM and process of an attempt from one list

Cause: a call kept the load balancer that it began with. When the list of VMs has no server of the service any more, FleetView drops that balancer and no longer updates it, but the process of the chosen VM was looked up in the current list. An order that is moved or retried then went to a VM of the old list with the id of the process that has taken over its address, which runs it, as the id is its own. With a VM that has left the list the call carried no id at all.

Evidence: with daemons as real processes, 4 of 8 orders (those that their first server had rejected as not run) ran at the process "yield" that had the address of the second server of "order" 0.7 s after the list showed it.

The fix: each attempt takes balancer, VM and process from the list that is current when it is chosen, and nothing is sent if the list names another process or service on the VM once the link to it is open. Such a call counts as not run and moves on; call_not_sent and misdirected_calls_total show it.

The harness claims its subnet by a port of its own: a fleet whose store was stopped by a test lost its addresses to the next fleet (seen twice, "address already in use").

--- a/libs/daemon/src/wisteriaproxy/diagnostics.py
+++ b/libs/daemon/src/wisteriaproxy/diagnostics.py
@@ -99,7 +99,9 @@
         self.shared.control.link_bytes = metrics.counter(LINK_BYTES)
         self.path.serving.backend_calls = metrics.counter(BACKEND_CALLS)
         self.path.entry.forwarder.retry_counts = metrics.counter(RETRIES)
-        self.path.serving.misdirected = metrics.counter(MISDIRECTED_CALLS)
+        misdirected = metrics.counter(MISDIRECTED_CALLS)
+        self.path.serving.misdirected = misdirected
+        self.path.entry.forwarder.misdirected = misdirected
 
     def count_queued(self) -> Series:
         """Count queued calls by priority."""
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -275,6 +275,7 @@
             forwarded = await self.at_most_once.forward(head, plan.deadline_at_ms, allowance)
         plan.trace.update(
             vm=forwarded.vm_id,
+            instance=forwarded.instance,
             retries=forwarded.retries,
             run=forwarded.head.run_state.value,
             status=forwarded.head.status,
--- a/libs/daemon/src/wisteriaproxy/fleet.py
+++ b/libs/daemon/src/wisteriaproxy/fleet.py
@@ -48,6 +48,18 @@
     def find_vm(self, vm_id: VmId) -> Vm | None:
         return self._vms.get(vm_id)
 
+    def find_server(self, vm_id: VmId, service: str) -> Vm | None:
+        """Return a VM, or None if the list doesn't name it as one that runs the service."""
+        vm = self._vms.get(vm_id)
+        return vm if vm is not None and vm.service == service else None
+
+    def lists_server(self, vm: Vm) -> bool:
+        """Return whether the list still names the process of an earlier list on the VM."""
+        current = self._vms.get(vm.vm_id)
+        if current is None:
+            return False
+        return (current.service, current.instance) == (vm.service, vm.instance)
+
     def find_load_balancer(self, service: str) -> LoadBalancer | None:
         """Return the load balancer, or None if the list has no VM of the service."""
         return self._load_balancers.get(service)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -22,11 +22,12 @@
     decide_retry,
     merge_run_states,
 )
-from wisteria_wire import AnswerHead, CallHead, LinkPool
+from wisteria_wire import AnswerHead, CallHead, Link, LinkPool
 
 from .answers import head_to_refusal, refusal_to_head
+from .const import ATTR_REQUEST_ID
 from .fleet import FleetView
-from .metrics import RETRIES, Counts
+from .metrics import MISDIRECTED_CALLS, RETRIES, Counts
 from .responders import LocalCall, Reply
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,6 +35,11 @@
 _RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 LOCAL_WINDOW_BYTES = 262_144
 
+NO_VM = Refusal(ResultCode.NO_BACKEND_SERVER, "no VM runs the service")
+PROCESS_REPLACED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the VM no longer runs the process", RunState.NOT_RUN
+)
+
 
 class PeerObserver(Protocol):
     """Receives what calls reveal about the daemons they were sent to."""
@@ -63,6 +69,8 @@
         Source of the body; None for a refusal.
     vm_id : VmId or None
         VM that answered.
+    instance : str
+        Backend server process that the call was sent to; empty if the list names none.
     retries : int
         Number of retries in the whole chain of calls.
     """
@@ -71,6 +79,7 @@
     reply: Reply | None
     vm_id: VmId | None
     retries: int = 0
+    instance: str = ""
 
 
 @attrs.define(eq=False)
@@ -91,6 +100,7 @@
     own_vm: VmId
     serve_locally: Callable[[LocalCall, CallHead], None]
     retry_counts: Counts = attrs.field(factory=lambda: Counts(RETRIES))
+    misdirected: Counts = attrs.field(factory=lambda: Counts(MISDIRECTED_CALLS))
 
     async def forward(
         self,
@@ -114,43 +124,69 @@
         before_send : callable, optional
             Called right before the first byte is sent. If it returns a refusal, nothing is sent.
         """
-        load_balancer = self.fleet.find_load_balancer(head.service)
         budget = self.fleet.find_budget(head.service)
-        if load_balancer is None or budget is None:
-            refusal = Refusal(ResultCode.NO_BACKEND_SERVER, "no VM runs the service")
-            return ForwardResult(refusal_to_head(refusal), None, None)
+        if budget is None or self.fleet.find_load_balancer(head.service) is None:
+            return ForwardResult(refusal_to_head(NO_VM), None, None)
         budget.note_call()
-        run = _AttemptLoop(self, head, deadline_at_ms, allowance, load_balancer, budget, prefer)
+        run = _AttemptLoop(self, head, deadline_at_ms, allowance, budget, prefer)
         run.tried = exclude
         run.before_send = before_send
         return await run.run_attempts()
 
-    async def send(
-        self, vm_id: VmId, head: CallHead, before_send: BeforeSend | None = None
-    ) -> Reply | Refusal:
-        """Send one attempt, which may be to this VM."""
+    async def send(self, vm_id: VmId, head: CallHead) -> Reply | Refusal:
+        """Send a call for any process of a VM, which may be this VM."""
         if vm_id == self.own_vm:
-            refusal = before_send() if before_send is not None else None
-            if refusal is not None:
-                return refusal
-            local = LocalCall(LOCAL_WINDOW_BYTES)
-            self.serve_locally(local, head)
-            return local
+            return self._start_locally(head)
         vm = self.fleet.find_vm(vm_id)
         if vm is None:
             return Refusal(ResultCode.LINK_LOST, "the VM is gone", RunState.NOT_RUN)
-        return await self._send_remote(vm, head, before_send)
+        link = await self._obtain_link(vm)
+        return link if isinstance(link, Refusal) else link.send_call(head)
 
-    async def _send_remote(
-        self, vm: Vm, head: CallHead, before_send: BeforeSend | None
+    async def send_to_server(
+        self, vm: Vm, head: CallHead, before_send: BeforeSend | None = None
     ) -> Reply | Refusal:
-        link = self.links.find(vm.vm_id) or await self.links.obtain(vm)
+        """Send one attempt for the backend server that the list named on a VM.
+
+        Nothing is sent if the list has changed meanwhile and names another process or service.
+        """
+        is_local = vm.vm_id == self.own_vm
+        link = None if is_local else await self._obtain_link(vm)
         if isinstance(link, Refusal):
             return link
+        if not self.fleet.lists_server(vm):
+            return PROCESS_REPLACED
         refusal = before_send() if before_send is not None else None
         if refusal is not None:
             return refusal
-        return link.send_call(head)
+        return self._start_locally(head) if link is None else link.send_call(head)
+
+    def note_misdirected(self, head: CallHead, vm: Vm) -> None:
+        """Count and log a call that was not sent because its VM no longer runs the process."""
+        self.misdirected.add(("entry",))
+        extra = {
+            ATTR_REQUEST_ID: head.request_id,
+            "service": head.service,
+            "instance": vm.instance,
+            "vm": vm.vm_id,
+        }
+        _LOGGER.info("call_not_sent", extra=extra)
+
+    def _start_locally(self, head: CallHead) -> LocalCall:
+        local = LocalCall(LOCAL_WINDOW_BYTES)
+        self.serve_locally(local, head)
+        return local
+
+    async def _obtain_link(self, vm: Vm) -> Link | Refusal:
+        return self.links.find(vm.vm_id) or await self.links.obtain(vm)
+
+
+@attrs.frozen
+class _Target:
+    """Backend server for one attempt, and the load balancer that chose it."""
+
+    vm: Vm
+    load_balancer: LoadBalancer
 
 
 @attrs.define(eq=False)
@@ -161,7 +197,6 @@
     head: CallHead
     deadline_at_ms: int
     allowance: RetryAllowance
-    load_balancer: LoadBalancer
     budget: RetryBudget
     prefer: VmId | None
     number: int = 0
@@ -175,11 +210,11 @@
         """Make attempts until one is final."""
         while True:
             self.number += 1
-            vm_id = self._choose()
-            if isinstance(vm_id, Refusal):
-                return self._refuse(attrs.evolve(vm_id, run_state=self.earlier))
-            self.tried |= {vm_id}
-            forwarded = await self._attempt(vm_id)
+            target = self._choose()
+            if isinstance(target, Refusal):
+                return self._refuse(attrs.evolve(target, run_state=self.earlier))
+            self.tried |= {target.vm.vm_id}
+            forwarded = await self._attempt(target)
             failure = _find_failure(forwarded.head)
             if failure is None:
                 return forwarded
@@ -201,54 +236,73 @@
         """Key among all attempts that borrow from the retry allowance."""
         return id(self), self.number
 
-    def _choose(self) -> VmId | Refusal:
+    def _choose(self) -> _Target | Refusal:
+        """Return a backend server of the service by the list that is current now."""
+        fleet, service = self.forwarder.fleet, self.head.service
+        load_balancer = fleet.find_load_balancer(service)
+        if load_balancer is None:
+            return NO_VM
         if self.prefer is not None and self.prefer not in self.tried:
-            return self.prefer
+            preferred = fleet.find_server(self.prefer, service)
+            if preferred is not None:
+                return _Target(preferred, load_balancer)
         now_ms = self.forwarder.clock.now_ms()
         left_ms = self.deadline_at_ms - now_ms
-        return self.load_balancer.choose(now_ms, self.tried, self.head.route_id, left_ms)
-
-    async def _attempt(self, vm_id: VmId) -> ForwardResult:
+        chosen = load_balancer.choose(now_ms, self.tried, self.head.route_id, left_ms)
+        if isinstance(chosen, Refusal):
+            return chosen
+        vm = fleet.find_server(chosen, service)
+        return _Target(vm, load_balancer) if vm is not None else NO_VM
+
+    async def _attempt(self, target: _Target) -> ForwardResult:
+        vm, load_balancer = target.vm, target.load_balancer
         clock = self.forwarder.clock
         sent_at_ms = clock.now_ms()
         lent = self.allowance.lend(self._attempt_id)
-        vm = self.forwarder.fleet.find_vm(vm_id)
         head = self.head.for_attempt(
             allowance=lent,
             remaining_ms=self.deadline_at_ms - sent_at_ms,
-            instance=vm.instance if vm is not None else "",
+            instance=vm.instance,
         )
-        self.load_balancer.note_sent(sent_at_ms, vm_id)
+        load_balancer.note_sent(sent_at_ms, vm.vm_id)
         outcome = CallOutcome.CANCELLED
         load: ServerLoad | None = None
         reply: Reply | Refusal | None = None
         try:
-            reply = await self.forwarder.send(vm_id, head, self.before_send)
+            reply = await self.forwarder.send_to_server(vm, head, self.before_send)
             answer = reply if isinstance(reply, Refusal) else await reply.wait_answer()
             if isinstance(answer, Refusal):
-                outcome = CallOutcome.LINK_LOST
-                self.forwarder.peers.note_call(vm_id, was_reached=False)
+                outcome = self._note_not_answered(vm, answer)
                 self._settle_lost(answer, lent)
-                return ForwardResult(refusal_to_head(answer), None, vm_id, self.retries)
+                return ForwardResult(
+                    refusal_to_head(answer), None, vm.vm_id, self.retries, vm.instance
+                )
             outcome = _classify_answer(answer)
-            self.forwarder.peers.note_leaving(vm_id, answer.leaving)
-            if answer.server_leaving and vm is not None:
+            self.forwarder.peers.note_leaving(vm.vm_id, answer.leaving)
+            if answer.server_leaving:
                 self.forwarder.peers.note_server_leaving(vm)
-            self.forwarder.peers.note_call(vm_id, was_reached=True)
+            self.forwarder.peers.note_call(vm.vm_id, was_reached=True)
             load = ServerLoad(answer.in_flight, 0, answer.limit)
             self.allowance.settle(self._attempt_id, lent - answer.spent)
             self.retries += answer.spent
             assert not isinstance(reply, Refusal)
-            return ForwardResult(answer, reply, vm_id, self.retries)
+            return ForwardResult(answer, reply, vm.vm_id, self.retries, vm.instance)
         finally:
             now_ms = clock.now_ms()
             latency_ms = now_ms - sent_at_ms
-            self.load_balancer.note_answer(now_ms, vm_id, outcome, latency_ms, load, head.route_id)
+            load_balancer.note_answer(now_ms, vm.vm_id, outcome, latency_ms, load, head.route_id)
             if outcome is CallOutcome.CANCELLED and reply is not None:
                 self.allowance.write_off(self._attempt_id)
                 if not isinstance(reply, Refusal):
                     reply.cancel()
 
+    def _note_not_answered(self, vm: Vm, refusal: Refusal) -> CallOutcome:
+        if refusal is PROCESS_REPLACED:
+            self.forwarder.note_misdirected(self.head, vm)
+            return CallOutcome.REFUSED
+        self.forwarder.peers.note_call(vm.vm_id, was_reached=False)
+        return CallOutcome.LINK_LOST
+
     def _settle_lost(self, refusal: Refusal, lent: int) -> None:
         if refusal.run_state is RunState.NOT_RUN:
             self.allowance.settle(self._attempt_id, lent)
@@ -256,13 +310,14 @@
             self.allowance.write_off(self._attempt_id)
 
     def _decide(self, failure: Refusal) -> Retry | GiveUp:
+        load_balancer = self.forwarder.fleet.find_load_balancer(self.head.service)
         attempt = Attempt(
             number=self.number,
             tried=self.tried,
             failure=failure,
             repeatable=self.head.repeatable,
             deadline_at_ms=self.deadline_at_ms,
-            alternatives=self.load_balancer.count_usable(self.tried),
+            alternatives=load_balancer.count_usable(self.tried) if load_balancer else 0,
             earlier=self.earlier,
             priority=self.head.rank // RANKS_PER_PRIORITY,
             moves=self.moves,
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -243,6 +243,7 @@
             self.vm_id,
             self._serve_locally,
             retry_counts=self.metrics.counter(RETRIES),
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
         )
         self.entry = EntryHandler(
             dialect=platform.caller_dialect(
--- /dev/null
+++ b/tests/platform/test_misdirected_calls.py
@@ -0,0 +1,52 @@
+"""Calls for a process or a service that the VM no longer runs."""
+
+import attrs
+import pytest
+
+from wisteria_config import PUBLIC_ACCOUNT
+from wisteria_core import Priority
+from wisteria_wire import CallHead
+from wisteriaproxy.forward import PROCESS_REPLACED
+
+from .support import Mesh, make_config, wait_until
+
+pytestmark = pytest.mark.anyio
+
+
+def make_head(instance: str, service: str = "yield") -> CallHead:
+    return CallHead(
+        request_id="a1",
+        route_id="orders",
+        service=service,
+        method="POST",
+        target="/orders/1",
+        headers=("host", "yields.example", "wisteriaproxy-attempt-id", "a1"),
+        account=PUBLIC_ACCOUNT,
+        key_id="",
+        priority=Priority.NORMAL,
+        rank=0,
+        remaining_ms=2_000,
+        allowance=0,
+        idempotency_key="",
+        config_version=1,
+        instance=instance,
+    )
+
+
+async def test_a_call_is_not_sent_once_the_list_names_another_process(mesh: Mesh) -> None:
+    """Guards against a call that was addressed before a connection to its VM was open."""
+    mesh.publish(make_config())
+    entry, node = await mesh.add_ready(2)
+    listed = entry.daemon.fleet.find_vm(node.daemon.vm_id)
+    assert listed is not None
+    forwarder = entry.daemon.entry.forwarder
+    for earlier in (
+        attrs.evolve(listed, instance="i-earlier"),
+        attrs.evolve(listed, service="order"),
+    ):
+        reply = await forwarder.send_to_server(earlier, make_head(earlier.instance))
+        assert reply is PROCESS_REPLACED
+    mesh.store.remove(f"servers/{node.upstream.instance}")
+    await wait_until(lambda: entry.daemon.fleet.find_vm(node.daemon.vm_id) is None)
+    assert await forwarder.send_to_server(listed, make_head(listed.instance)) is PROCESS_REPLACED
+    assert node.upstream.ran == []
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
+CLAIM = 8007
 FIRST_SUBNET, LAST_SUBNET = 20, 250
 START_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
@@ -140,21 +142,27 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
+    _claim: socket.socket | None = None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
 
     async def async_setup(self) -> None:
-        """Start the store in the first subnet whose port is free."""
+        """Start the store in the first subnet that no other fleet has claimed."""
         for subnet in range(FIRST_SUBNET, LAST_SUBNET):
             self.subnet = subnet
             self.store = Store(self.host(1))
             self.store.page_size = 500
+            try:
+                # the store's own port is free while a test has stopped the store
+                self._claim = socket.create_server((self.host(1), CLAIM))
+            except OSError:
+                continue
             try:
                 await self.store.http.async_setup()
                 return
             except OSError:
-                continue
+                self._claim.close()
         raise AssertionError("no free loopback subnet")
 
     async def async_unload(self) -> None:
@@ -166,6 +174,8 @@
                 machine._keeper.cancel()
             await machine.upstream.http.async_unload()
         await self.store.http.async_unload()
+        if self._claim is not None:
+            self._claim.close()
         self._folder.cleanup()
 
     def host(self, last: int) -> str:
@@ -231,10 +241,15 @@
 """
 
     async def start_upstream(
-        self, machine: Machine, service: str | None = None, instance: str | None = None
+        self,
+        machine: Machine,
+        service: str | None = None,
+        instance: str | None = None,
+        *,
+        is_registered: bool = True,
     ) -> None:
         """Start a new process of a machine's backend server, which may be of another service."""
-        machine.service = service or machine.service
+        machine.service = service = service or machine.service
         upstream = Upstream(machine.host, instance or f"i-{next(self._names):08x}")
         machine.upstream, machine.born_ms = upstream, int(time.time() * 1_000)
         work = upstream.http.handle
@@ -244,13 +259,14 @@
             started_s = time.monotonic()
             reply = await work(request)
             if len(upstream.ran) > known and request in upstream.ran[known:]:
-                run = Run(started_s, machine.service, upstream.instance, machine.host, request)
+                run = Run(started_s, service, upstream.instance, machine.host, request)
                 self.runs.append(run)
             return reply
 
         upstream.http.handle = handle
         await upstream.http.async_setup()
-        self.register(machine)
+        if is_registered:
+            self.register(machine)
 
     async def end_upstream(self, machine: Machine, *, is_removed: bool = True) -> None:
         """End the process of a machine's backend server; its connections are reset."""
