Refuse calls that name no process, or another service than the VM runs

What callers saw: as before, an order run by a process of another service, here beside the daemon that took it.

Cause: the serving side compared neither service nor process of a call with what it knows of the process beside it. A call without an id, which an entry daemon sent for a VM that had left its list (its own one included), goes to the backend server without Wisteriaproxy-Target-Instance, and whatever process listens at the address runs it.

Without this fix, test_a_call_that_names_no_process_is_not_run (both) and test_a_call_for_another_service_than_the_listed_one_is_not_run fail with ResultCode.OK, RunState.RAN in place of ResultCode.BACKEND_SERVER_LEAVING, RunState.NOT_RUN

The fix: where the platform reports processes, a call must name one, and a call for the listed process must name the service that the list states for it, on arrival and when it leaves the queue. Calls for another process are left to the backend server, which answers 421: the list of the entry daemon may be the newer one.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -219,6 +219,7 @@
             needs_document=False,
             tick_ms=GATE_TICK_MS,
             read_vm=lambda: self.fleet.find_vm(self.vm_id),
+            needs_process=True,
             misdirected=self.metrics.counter(MISDIRECTED_CALLS),
             backend_calls=self.metrics.counter(BACKEND_CALLS),
         )
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -50,6 +50,12 @@
 SERVER_LEAVING = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
 )
+OTHER_SERVICE = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the VM runs another service", RunState.NOT_RUN
+)
+NO_PROCESS_NAMED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the call names no process", RunState.NOT_RUN
+)
 EVACUATED = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
 )
@@ -113,6 +119,9 @@
         Refuses calls, except for probes, while the backend server fails all of them.
     read_vm : callable
         Returns what the list of VMs names on this VM, or None if it doesn't name it.
+    needs_process : bool
+        Whether calls that name no process are refused, because the platform reports processes
+        and may give the address of this VM to another service.
     on_wait : callable
         Called when a call has to wait, or is refused for want of room.
     """
@@ -133,6 +142,7 @@
     on_wait: Callable[[], None] = lambda: None
     breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
     read_vm: Callable[[], Vm | None] = lambda: None
+    needs_process: bool = False
     misdirected: Counts = attrs.field(factory=lambda: Counts(MISDIRECTED_CALLS))
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
@@ -241,9 +251,10 @@
     async def _serve_within(self, call_id: int, served: _ServedCall) -> None:
         refusal = self.check(served.head) or await self._admit(call_id, served)
         if refusal is None:
-            # a key may have been withdrawn while the call was queued
+            # the process may have been replaced, or a key withdrawn, while the call was queued
             refusal = (
-                self._check_key(served.head)
+                self._check_process(served.head)
+                or self._check_key(served.head)
                 or self._check_breaker()
                 or self.crashes.start(call_id, served.head)
             )
@@ -293,7 +304,24 @@
             return SERVER_LEAVING
         if self.is_evacuated:
             return EVACUATED
-        return self._check_key(head)
+        return self._check_process(head) or self._check_key(head)
+
+    def _check_process(self, head: CallHead) -> Refusal | None:
+        """Return the refusal of a call that the process on this VM must not run, or None."""
+        refusal = self._find_mismatch(head)
+        if refusal is not None:
+            self.misdirected.add(("daemon",))
+        return refusal
+
+    def _find_mismatch(self, head: CallHead) -> Refusal | None:
+        if self.needs_process and not head.instance:
+            return NO_PROCESS_NAMED
+        vm = self.read_vm()
+        if vm is None or vm.service == head.service:
+            return None
+        # the list of the entry daemon may be the newer one; the process itself rejects a call
+        # that names another one
+        return OTHER_SERVICE if head.instance == vm.instance else None
 
     def _check_key(self, head: CallHead) -> Refusal | None:
         not_ready = self.check_ready()
--- a/tests/platform/test_misdirected_calls.py
+++ b/tests/platform/test_misdirected_calls.py
@@ -4,11 +4,11 @@
 import pytest
 
 from wisteria_config import PUBLIC_ACCOUNT
-from wisteria_core import Priority
-from wisteria_wire import CallHead
+from wisteria_core import Priority, Refusal, ResultCode, RunState
+from wisteria_wire import AnswerHead, CallHead
 from wisteriaproxy.forward import PROCESS_REPLACED
 
-from .support import Mesh, make_config, wait_until
+from .support import Mesh, Node, make_config, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -33,6 +33,43 @@
     )
 
 
+async def send(entry: Node, node: Node, head: CallHead) -> AnswerHead:
+    """Send a call to the daemon of `node`, whatever `entry` knows of its backend server."""
+    reply = await entry.daemon.entry.forwarder.send(node.daemon.vm_id, head)
+    assert not isinstance(reply, Refusal)
+    answer = await reply.wait_answer()
+    assert isinstance(answer, AnswerHead)
+    return answer
+
+
+@pytest.mark.parametrize("is_local", [False, True])
+async def test_a_call_that_names_no_process_is_not_run(mesh: Mesh, is_local: bool) -> None:
+    """Guards against a call that any process which has taken over the address would run."""
+    mesh.publish(make_config())
+    entry, node = await mesh.add_ready(2)
+    target = entry if is_local else node
+    answer = await send(entry, target, make_head(""))
+    assert (answer.code, answer.run_state) == (
+        ResultCode.BACKEND_SERVER_LEAVING,
+        RunState.NOT_RUN,
+    )
+    assert target.upstream.ran == []
+    assert (await send(entry, target, make_head(target.upstream.instance))).status == 200
+
+
+async def test_a_call_for_another_service_than_the_listed_one_is_not_run(mesh: Mesh) -> None:
+    """Guards against an entry daemon that names the process of a service that it doesn't mean."""
+    mesh.publish(make_config())
+    entry, node = await mesh.add_ready(2)
+    answer = await send(entry, node, make_head(node.upstream.instance, service="order"))
+    assert (answer.code, answer.run_state) == (
+        ResultCode.BACKEND_SERVER_LEAVING,
+        RunState.NOT_RUN,
+    )
+    assert node.upstream.ran == []
+    assert b'misdirected_calls_total{place="daemon"} 1' in node.daemon.metrics.render()
+
+
 async def test_a_call_is_not_sent_once_the_list_names_another_process(mesh: Mesh) -> None:
     """Guards against a call that was addressed before a connection to its VM was open."""
     mesh.publish(make_config())
--- a/tests/processes/test_reused_addresses.py
+++ b/tests/processes/test_reused_addresses.py
@@ -71,3 +71,24 @@
     gate.released.set()
     statuses = [(await call).status for call in calls]
     assert find_misdirected(fleet) == [], statuses
+
+
+async def test_an_order_is_not_retried_at_an_unlisted_process_beside_its_daemon(
+    fleet: Fleet,
+) -> None:
+    """Guards against a local call that names no process, which any process at the address runs."""
+    fleet.publish()
+    entry, other = await fleet.add([("order", "a"), ("order", "a")])
+    gate = _Gate([entry, other])
+    calls = [
+        asyncio.create_task(fleet.call(entry, f"/orders/{n}", "POST", timeout_ms=5_000))
+        for n in range(ORDERS)
+    ]
+    await wait_until_held(gate, ORDERS)
+    fleet.store.remove(f"servers/{other.upstream.instance}")
+    await fleet.end_upstream(entry)
+    await wait_until_listed(entry, 2)
+    await fleet.start_upstream(entry, service="yield", is_registered=False)
+    gate.released.set()
+    statuses = [(await call).status for call in calls]
+    assert find_misdirected(fleet) == [], statuses
