--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -41,11 +41,14 @@
 from ..incarnation import make_incarnation
 from ..metrics import (
     AUDIT_EVENTS,
+    BACKEND_CALLS,
     CONFIG_VERSION,
     CONTROL_REFUSED,
     IN_FLIGHT,
     LINK_FAULTS,
+    MISDIRECTED_CALLS,
     READY,
+    RETRIES,
     TASK_FAILURES,
     Metrics,
 )
@@ -223,6 +226,10 @@
             crashes=crashes,
             needs_document=False,
             tick_ms=GATE_TICK_MS,
+            read_vm=lambda: self.fleet.find_vm(self.vm_id),
+            needs_process=True,
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
+            backend_calls=self.metrics.counter(BACKEND_CALLS),
         )
         self.cold_start = ColdStartMonitor(
             settings.vm.service,
@@ -237,7 +244,15 @@
         notices = NoticeHandler(self.serving.gate, self.exchange, clock)
         self.backend.on_notice = notices.handle
         forwarder = Forwarder(
-            self.fleet, self.exchange, self.links, clock, random, self.vm_id, self._serve_locally
+            self.fleet,
+            self.exchange,
+            self.links,
+            clock,
+            random,
+            self.vm_id,
+            self._serve_locally,
+            retry_counts=self.metrics.counter(RETRIES),
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
         )
         self.entry = EntryHandler(
             dialect=platform.caller_dialect(
@@ -346,8 +361,13 @@
     def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
         vm = after.get(vm_id)
         state = vm.state.value if vm is not None else "gone"
-        instance = vm.instance if vm is not None else ""
-        _LOGGER.info("vm_changed", extra={"vm": vm_id, "state": state, "instance": instance})
+        extra = {
+            "vm": vm_id,
+            "state": state,
+            "instance": vm.instance if vm is not None else "",
+            "service": vm.service if vm is not None else "",
+        }
+        _LOGGER.info("vm_changed", extra=extra)
 
     # running
 
