Count and log requests that end without a complete answer

What callers saw: requests that ended without an answer, of which no log or metric of the daemon told whether the caller had left, the daemon had broken off, or nobody was left to answer.

A request whose task was cancelled by other code than its own scope had no end at all: its connection stayed open.

Why this works: the handler checks at the end of each request whether the complete answer has been written. If not, it counts the request by reason in `requests_unanswered_total`, writes `request_unanswered` as a warning unless the caller has left, and closes the connection.

--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -21,7 +21,7 @@
 from .forward import Forwarder, ForwardResult, is_failure
 from .identify import Caller
 from .log_budget import CATEGORY_NOT_SERVED, CATEGORY_SUCCESS, has_line_budget
-from .metrics import Metrics
+from .metrics import REQUESTS_UNANSWERED, Metrics
 from .plan import Plan, count_hops, list_parts
 
 _LOGGER = logging.getLogger(__name__)
@@ -30,6 +30,8 @@
 WITHDRAWAL_GRACE_MS = 1_000
 _NO_ROUTE = "none"
 _NO_ACCOUNT = "none"
+_REASON_CALLER = "closed by the caller"
+_REASON_BROKEN_OFF = "broken off"
 
 NO_DOCUMENT = Refusal(
     ResultCode.NOT_READY, "no configuration is in force yet", retry_after_ms=1_000
@@ -99,19 +101,24 @@
     async def handle(self, request: HttpRequest) -> None:
         """Serve until answered, or cancelled because the caller disconnected."""
         request_id = self.dialect.read_request_id(request)
+        code = ResultCode.CANCELLED
         try:
-            await self._handle(request, request_id)
+            code = await self._handle(request, request_id)
         except Exception:
+            code = ResultCode.INTERNAL
             _LOGGER.exception("entry_failed", extra={ATTR_REQUEST_ID: request_id})
             self._answer_internal_error(request, request_id)
+        finally:
+            if not request.exchange.is_ended:
+                self._end_unanswered(request, request_id, code)
 
-    async def _handle(self, request: HttpRequest, request_id: str) -> None:
+    async def _handle(self, request: HttpRequest, request_id: str) -> ResultCode:
         started_ms = self.clock.now_ms()
         plan = self._plan(started_ms, request, request_id)
         if isinstance(plan, Refusal):
             self._answer_refusal(request, request_id, plan)
             self._record_end(started_ms, request_id, None, plan.code)
-            return
+            return plan.code
         scope = plan.scope
         scope.deadline = self._scope_deadline(started_ms, plan)
         request.exchange.on_cancel = scope.cancel
@@ -129,6 +136,7 @@
         if scope.cancelled_caught:
             code = self._end_early(plan)
         self._record_end(started_ms, request_id, plan, code)
+        return code
 
     def end_withdrawn(self, document: Document) -> int:
         """Cancel the requests whose key has been withdrawn and return their number.
@@ -369,6 +377,24 @@
             return
         self._answer_refusal(request, request_id, INTERNAL)
 
+    def _end_unanswered(self, request: HttpRequest, request_id: str, code: ResultCode) -> None:
+        """Count a request without a complete answer, and close its connection."""
+        if request.exchange.is_cancelled:
+            self.metrics.counter(REQUESTS_UNANSWERED).add((_REASON_CALLER,))
+            return
+        self.metrics.counter(REQUESTS_UNANSWERED).add((_REASON_BROKEN_OFF,))
+        _LOGGER.warning(
+            "request_unanswered",
+            extra={
+                ATTR_REQUEST_ID: request_id,
+                ATTR_CODE: int(code),
+                "started": request.exchange.started,
+                "stopping": self.is_stopping,
+            },
+        )
+        # a caller would otherwise wait on the connection for an answer that never comes
+        request.exchange.abort()
+
     def _end_early(self, plan: Plan) -> ResultCode:
         """End a request after disconnect, deadline, withdrawn key or stop."""
         exchange = plan.request.exchange
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -65,6 +65,12 @@
 AUDIT_EVENTS = Family(
     "audit_events_total", "counter", "Records of the audit trail.", ("kind", "outcome")
 )
+REQUESTS_UNANSWERED = Family(
+    "requests_unanswered_total",
+    "counter",
+    "Requests whose connection ended before a complete answer.",
+    ("reason",),
+)
 LOOP_GAPS = Family("loop_gaps_total", "counter", "Pauses of the process beyond the bound.")
 
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
@@ -86,6 +92,7 @@
     LINK_FAULTS,
     PLATFORM_READS,
     AUDIT_EVENTS,
+    REQUESTS_UNANSWERED,
     LOOP_GAPS,
 )
 GAUGES = (
--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -73,6 +73,11 @@
     _chunked: bool = False
     _ended: bool = False
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the complete response has been written."""
+        return self._ended
+
     def answer(self, status: int, headers: tuple[str, ...], body: bytes) -> None:
         """Send a complete response.
 
