--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -71,6 +71,12 @@
 AUDIT_EVENTS = Family(
     "audit_events_total", "counter", "Records of the audit trail.", ("kind", "outcome")
 )
+REQUESTS_UNANSWERED = Family(
+    "requests_unanswered_total",
+    "counter",
+    "Requests whose connection ended before a complete answer.",
+    ("reason",),
+)
 LOOP_GAPS = Family("loop_gaps_total", "counter", "Pauses of the process beyond the bound.")
 CONTROL_REFUSED = Family(
     "control_refused_total",
@@ -111,6 +117,7 @@
     LINK_FAULTS,
     PLATFORM_READS,
     AUDIT_EVENTS,
+    REQUESTS_UNANSWERED,
     LOOP_GAPS,
     CONTROL_REFUSED,
     PLATFORM_REFUSED,
