--- /dev/null
+++ b/tests/processes/soak/world.py
@@ -0,0 +1,425 @@
+"""A fleet with its operator, backend servers and clients, all of which keep a record."""
+
+import asyncio
+import hashlib
+import itertools
+import random
+import time
+from typing import Any
+
+import attrs
+from tests.platform.standins import STORE, Reply, Request, Store
+from tests.platform.support import HOST
+
+from ..support import CALLERS, READY, Fleet, Machine, make_route
+from .clients import Clients
+from .models import Departure, Disruption, Record, Sample, Version, Work
+from .relay import Relay
+
+SERVICES = ("yieldview", "animalhealth", "reportdesk", "supplyorder")
+BASE = (
+    ("lookup", "yieldview", "idempotent", 5.0),
+    ("flag", "animalhealth", "non_idempotent", 5.0),
+    ("report", "reportdesk", "download", 1.5),
+    ("refill", "supplyorder", "non_idempotent", 1.2),
+)
+INNER = {
+    "flag": ("history", "animalhealth", 2.5),
+    "report": ("parts", "reportdesk", 2.0),
+    "refill": ("stock", "supplyorder", 0.7),
+}
+SHARES = {"lookup": 50, "flag": 20, "report": 10, "refill": 15, "added": 3, "dropped": 2}
+CHILD_SHARE = 0.3
+WORK_S = (0.03, 0.4)
+SLOTS, QUEUE = 20, 40
+REPORT_BYTES = 40_000
+HISTORY_S = 20.0
+LATE_S = 0.2
+
+
+class SoakFleet(Fleet):
+    """Fleet whose daemons reach the store through a relay each."""
+
+    def _make_settings(self, host: str, service: str, zone: str) -> str:
+        text = super()._make_settings(host, service, zone)
+        relay = f"{self.host(100 + int(host.rpartition('.')[2]))}:{STORE}"
+        return text.replace(f"{self.host(1)}:{STORE}", relay)
+
+
+@attrs.define(eq=False)
+class World:
+    """Everything outside of the daemons.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests of clients, at all machines together.
+    store_mode : str
+        ``ok``, ``503``, ``silent``, ``slow`` or ``lose``.
+    """
+
+    fleet: SoakFleet
+    rng: random.Random
+    rate_per_s: float
+    record: Record = attrs.field(factory=Record)
+    relays: dict[str, Relay] = attrs.field(factory=dict)
+    clients: dict[str, Clients] = attrs.field(factory=dict)
+    store_mode: str = "ok"
+    load: float = 1.0
+    began_s: float = 0.0
+    routes: list[dict[str, Any]] = attrs.field(factory=list)
+    keys: list[str] = attrs.field(factory=list)
+    dropped: list[str] = attrs.field(factory=list)
+    stopped_hosts: set[str] = attrs.field(factory=set)
+    withdrawn: list[str] = attrs.field(factory=list)
+    _running: dict[str, int] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
+    _numbers: Any = attrs.field(factory=lambda: itertools.count(1))
+    _removed_at: list[tuple[float, int]] = attrs.field(factory=list)
+
+    async def async_setup(self, daemons: int, zones: int) -> None:
+        """Publish the first version and start all machines."""
+        await self.fleet.async_setup()
+        self._shape_store(self.fleet.store)
+        for name, service, kind, timeout_s in BASE:
+            self.routes.append(make_route(name, service, kind, timeout_s=timeout_s))
+        for name, service, timeout_s in INNER.values():
+            route = make_route(name, service, "idempotent", timeout_s=timeout_s, public=True)
+            self.routes.append(route)
+        self.keys = [f"key{number:017d}" for number in range(6)]
+        self.publish()
+        places = [
+            (SERVICES[number % len(SERVICES)], f"zone{number // len(SERVICES) % zones}")
+            for number in range(daemons)
+        ]
+        for number in range(daemons):
+            relay_host = self.fleet.host(110 + number)
+            relay = Relay(relay_host, STORE, (self.fleet.host(1), STORE))
+            await relay.async_setup()
+            host = self.fleet.host(10 + number)
+            self.relays[host] = relay
+            self.clients[host] = Clients((host, CALLERS))
+        self.fleet.on_upstream = self._prepare_upstream
+        machines = await self.fleet.add(places)
+        for machine in machines:
+            self.record.starts.append((machine.host, time.monotonic()))
+
+    async def async_unload(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for clients in self.clients.values():
+            clients.close()
+        for relay in self.relays.values():
+            await relay.async_unload()
+        await self.fleet.async_unload()
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def start(self) -> None:
+        """Start the clients and the tasks that watch over the run."""
+        self.began_s = _now()
+        self.spawn(self._change_configuration())
+        for machine in self.fleet.machines:
+            self.spawn(self._offer_load(machine))
+            self.spawn(self._probe_ready(machine))
+        self.spawn(self._watch_lateness())
+        self.spawn(self._forget_history())
+
+    def disrupt(
+        self, kind: str, hosts: frozenset[str] | None, *, is_planned: bool = False
+    ) -> Disruption:
+        found = Disruption(kind, hosts, time.monotonic(), is_planned=is_planned)
+        self.record.disruptions.append(found)
+        return found
+
+    # the store
+
+    def _shape_store(self, store: Store) -> None:
+        work = store.http.handle
+
+        async def handle(request: Request) -> Reply:
+            match self.store_mode:
+                case "503":
+                    return Reply(503, body=b"{}")
+                case "silent":
+                    await asyncio.Event().wait()
+                case "slow":
+                    await asyncio.sleep(1.0)
+            reply = await work(request)
+            if self.store_mode == "lose":
+                return Reply(raw=b"")
+            return reply
+
+        store.http.handle = handle
+
+    async def _forget_history(self) -> None:
+        """Keep the store's history as short as the platform's."""
+        store = self.fleet.store
+        marks: list[tuple[float, int]] = []
+        while True:
+            await asyncio.sleep(2.0)
+            now_s = time.monotonic()
+            marks.append((now_s, store.revision))
+            while marks and now_s - marks[0][0] > HISTORY_S:
+                _, revision = marks.pop(0)
+                store.events = [event for event in store.events if event["revision"] > revision]
+                store.compacted_revision = max(store.compacted_revision, revision)
+
+    # the operator
+
+    def publish(self) -> None:
+        """Write the next version with the present routes and keys."""
+        self.fleet.version += self.rng.randint(0, 3)
+        services = [
+            {"name": name, "health_path": "/healthz", "max_connections": 600, "protocol": "h1"}
+            for name in SERVICES
+        ]
+        tenants = [
+            {"name": f"t{i}", "api_keys": [key], "priority": 1, "rate_per_s": 0, "burst": 0}
+            for i, key in enumerate(self.keys)
+        ]
+        routes = [dict(route) for route in self.routes]
+        self.fleet.publish(routes=routes, services=services, tenants=tenants)
+        keys = frozenset(self.keys)
+        now_s = time.monotonic()
+        self.record.versions.append(Version(self.fleet.version, now_s, routes, keys))
+
+    async def _change_configuration(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+            self.change_configuration()
+
+    def change_configuration(self) -> str:
+        """Change something at random and publish it."""
+        rng = self.rng
+        kind = rng.choice(("move", "split", "timeout", "add", "add", "drop", "key", "back"))
+        names = [name for name, *_ in BASE]
+        base = [route for route in self.routes if route["name"] in names]
+        added = [route for route in self.routes if route["name"].startswith("added")]
+        match kind:
+            case "move":
+                route = rng.choice(base)
+                route.pop("traffic_split", None)
+                route["service"] = rng.choice([s for s in SERVICES if s != route["service"]])
+            case "split":
+                route = rng.choice(base)
+                parts = rng.sample(SERVICES, 2)
+                weight = rng.randint(1, 9)
+                route["traffic_split"] = [
+                    {"service": parts[0], "weight": weight},
+                    {"service": parts[1], "weight": 10 - weight},
+                ]
+            case "timeout":
+                route = rng.choice(base)
+                route["timeout_s"] = rng.choice((1.0, 1.5, 2.0, 3.0, 5.0))
+            case "drop" if added:
+                route = rng.choice(added)
+                self.routes.remove(route)
+                self.dropped.append(route["name"])
+            case "key":
+                old = self.keys.pop(0)
+                self.withdrawn.append(old)
+                self.keys.append(f"key{100 + next(self._numbers):017d}")
+            case "back":
+                for route, (_, service, _, _) in zip(base, BASE, strict=True):
+                    route.pop("traffic_split", None)
+                    route["service"] = service
+            case _:
+                name = f"added{next(self._numbers)}"
+                kinds = ("idempotent", "non_idempotent")
+                self.routes.append(make_route(name, rng.choice(SERVICES), rng.choice(kinds)))
+                if len(added) > 6:
+                    self.routes.remove(added[0])
+                    self.dropped.append(added[0]["name"])
+        self.publish()
+        return kind
+
+    # backend servers
+
+    def _prepare_upstream(self, machine: Machine) -> None:
+        upstream, service = machine.upstream, machine.service
+        instance, host = upstream.instance, machine.host
+
+        async def answer(request: Request) -> Reply:
+            running = self._running.get(instance, 0)
+            if running >= SLOTS + QUEUE:
+                return Reply(503, {"Wisteriaproxy-Not-Executed": "full"})
+            headers = request.headers
+            attempt = headers["wisteriaproxy-attempt-id"]
+            work = Work(
+                attempt, service, instance, host, request.method, request.target, headers, _now()
+            )
+            self.record.work.append(work)
+            self._running[instance] = running + 1
+            try:
+                return await self._work(machine, request, work, running)
+            except asyncio.CancelledError:
+                work.end = "died" if instance in self.record.dead else "cancelled"
+                raise
+            finally:
+                work.ended_s = _now()
+                self._running[instance] -= 1
+
+        upstream.answer = answer
+
+    async def _work(self, machine: Machine, request: Request, work: Work, running: int) -> Reply:
+        route = request.target.split("/")[1]
+        left_s = int(request.headers.get("wisteriaproxy-timeout-ms", "5000")) / 1_000
+        ends_s = work.at_s + left_s
+        await asyncio.sleep(self.rng.uniform(*WORK_S) * (1.0 + running / SLOTS))
+        work.status = 200
+        if route in INNER and self.rng.random() < CHILD_SHARE:
+            sample = self._make_sample(machine.host, INNER[route][0], "GET", "", ends_s - _now())
+            sample.parent, sample.is_repeatable = work.attempt, True
+            await self._send(sample, b"", on_new=False)
+            if sample.status != 200:
+                work.status = 500
+        if _now() > ends_s:
+            work.status = 504
+        size = REPORT_BYTES if route == "report" else 40
+        body = make_body(work.attempt, work.instance, size)
+        work.end = "done"
+        signature = sign(work.attempt, work.instance, body)
+        headers = {
+            "Wisteriaproxy-Attempt-Id": work.attempt,
+            "Wisteriaproxy-Response-Signature": f"{signature}.{work.status}.{work.instance}",
+            "Wisteriaproxy-Server-Load": f"{running},0,{SLOTS}",
+        }
+        return Reply(work.status, headers, body)
+
+    async def start_server(
+        self, machine: Machine, service: str | None = None, instance: str | None = None
+    ) -> None:
+        if instance is not None:
+            self.record.dead.pop(instance, None)
+        await self.fleet.start_upstream(machine, service, instance)
+        self.fleet.register(machine, slots=SLOTS)
+
+    async def end_server(self, machine: Machine) -> None:
+        """End a backend server; its entry stays."""
+        self.record.dead[machine.upstream.instance] = _now()
+        await machine.upstream.http.async_unload()
+
+    def report_draining(self, machine: Machine) -> None:
+        self.fleet.register(machine, slots=SLOTS, state="draining", sequence=2)
+        self._depart(machine, "draining")
+
+    def remove_entry(self, machine: Machine, *, is_departure: bool = True) -> None:
+        self.fleet.store.remove(f"servers/{machine.upstream.instance}")
+        if is_departure:
+            self._depart(machine, "removed")
+
+    def _depart(self, machine: Machine, kind: str) -> None:
+        self.record.departures.append(
+            Departure(machine.upstream.instance, machine.host, _now(), kind)
+        )
+
+    # clients
+
+    async def _offer_load(self, machine: Machine) -> None:
+        clients = self.clients[machine.host]
+        share = 1.0 / len(self.fleet.machines)
+        due_s = _now()
+        while True:
+            due_s += self.rng.expovariate(self.rate_per_s * share * self.load)
+            due_s = max(due_s, _now() - 0.1)
+            await asyncio.sleep(max(0.0, due_s - _now()))
+            if self.load < 1e-3:
+                return
+            on_new = clients.takes_new and self.rng.random() < 0.3
+            if clients.takes_new or clients.has_kept():
+                self.spawn(self._send(self._draw(machine.host), b"", on_new=on_new))
+
+    def _draw(self, host: str) -> Sample:
+        rng = self.rng
+        name = rng.choices(list(SHARES), list(SHARES.values()))[0]
+        if name == "added":
+            names = [r["name"] for r in self.routes if r["name"].startswith("added")]
+            name = rng.choice(names[-3:] or ["lookup"])
+        elif name == "dropped":
+            name = rng.choice(self.dropped[-3:] or ["never"])
+        key = rng.choice(self.keys)
+        if self.withdrawn and rng.random() < 0.03:
+            key = self.withdrawn[-1]
+        route = next((route for route in self.routes if route["name"] == name), None)
+        kind = "idempotent" if route is None else route["route_type"]
+        method = "GET" if kind != "non_idempotent" else "POST"
+        timeout_s = next((t for base, _, _, t in BASE if base == name), 2.0)
+        sample = self._make_sample(host, name, method, key, timeout_s)
+        sample.is_repeatable = kind != "non_idempotent"
+        return sample
+
+    def _make_sample(
+        self, host: str, route: str, method: str, key: str, timeout_s: float
+    ) -> Sample:
+        attempt = self.fleet.make_attempt()
+        path = f"/{route}/{attempt[-4:]}"
+        return Sample(attempt, host, route, method, path, key, method == "GET", timeout_s)
+
+    async def _send(self, sample: Sample, body: bytes, *, on_new: bool) -> None:
+        if sample.timeout_s < 0.01:
+            return
+        self.record.samples.append(sample)
+        headers = {
+            "host": HOST,
+            "wisteriaproxy-attempt-id": sample.attempt,
+            "wisteriaproxy-timeout-ms": str(round(sample.timeout_s * 1_000)),
+        }
+        if sample.key:
+            headers["authorization"] = f"Bearer {sample.key}"
+        body = body or (b"x" * 200 if sample.method == "POST" else b"")
+        await self.clients[sample.host].send(sample, body, on_new=on_new, headers=headers)
+        check_answer(sample)
+
+    async def _probe_ready(self, machine: Machine) -> None:
+        """Ask for readiness as the platform does; two misses take a machine out."""
+        clients, misses = self.clients[machine.host], 0
+        while True:
+            await asyncio.sleep(1.0)
+            reply = await self.fleet.fetch(machine, READY, "/readyz", limit_s=1.0)
+            misses = 0 if reply.status == 200 else misses + 1
+            clients.takes_new = misses < 2
+
+    async def _watch_lateness(self) -> None:
+        """Note when this process itself is late, which would falsify the times."""
+        while True:
+            start_s = _now()
+            await asyncio.sleep(0.05)
+            late_s = _now() - start_s - 0.05
+            if late_s > LATE_S:
+                found = Disruption(f"late-{late_s:.2f}", None, start_s, _now())
+                self.record.disruptions.append(found)
+
+
+def check_answer(sample: Sample) -> None:
+    """Note what is wrong with an answer, and forget its body."""
+    if sample.end == "answered":
+        parts = sample.signed.split(".")
+        if sample.signed:
+            if len(parts) != 3 or sign(sample.attempt, parts[2], sample.body) != parts[0]:
+                sample.faults.append("body or signature of another answer")
+            elif parts[1] != str(sample.status):
+                sample.faults.append(f"status {sample.status}, the server gave {parts[1]}")
+        elif sample.status < 300:
+            sample.faults.append("success without a signature")
+        if sample.owner not in ("", sample.attempt):
+            sample.faults.append(f"answer of {sample.owner}")
+    sample.body = b""
+
+
+def make_body(attempt: str, instance: str, size: int) -> bytes:
+    line = f"{attempt} {instance} ".encode()
+    return (line * (size // len(line) + 1))[:size]
+
+
+def sign(attempt: str, instance: str, body: bytes) -> str:
+    return hashlib.blake2b(body, key=f"{attempt}{instance}".encode(), digest_size=8).hexdigest()
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -133,6 +133,8 @@
     ----------
     runs : list of Run
         Requests that any backend server has begun to run, in order.
+    on_upstream : callable
+        Called with a machine before its new backend server listens.
     """
 
     machines: list[Machine] = attrs.field(factory=list)
@@ -140,6 +142,7 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
+    on_upstream: Callable[[Machine], None] = lambda machine: None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
@@ -249,6 +252,7 @@
             return reply
 
         upstream.http.handle = handle
+        self.on_upstream(machine)
         await upstream.http.async_setup()
         self.register(machine)
 
