--- a/libs/daemon/src/wisteriaproxy/log_budget.py
+++ b/libs/daemon/src/wisteriaproxy/log_budget.py
@@ -15,6 +15,8 @@
 """Capacity of the token bucket: lines written at once after an idle period."""
 MAX_BUFFERED_BYTES = 262_144
 """Bytes buffered for a slow reader; lines beyond this are dropped and counted."""
+REQUEST_BUFFERED_BYTES = MAX_BUFFERED_BYTES * 3 // 4
+"""Of these, bytes that lines of requests may fill; the rest is for changes of state."""
 SUMMARY_INTERVAL_S = 1.0
 """Minimum time between two summaries of dropped lines."""
 
@@ -135,7 +137,9 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a line, or buffer it while the reader is slow; drop it if the buffer is full."""
-        self._append(self.format(record))
+        is_request = getattr(record, ATTR_REQUEST_ID, None) is not None
+        limit_bytes = REQUEST_BUFFERED_BYTES if is_request else MAX_BUFFERED_BYTES
+        self._append(self.format(record), limit_bytes)
         self._write()
 
     def _write_summary(self, now_s: float) -> None:
@@ -159,9 +163,9 @@
         )
         self._append(self.format(summary))
 
-    def _append(self, line: str) -> None:
+    def _append(self, line: str, limit_bytes: int = MAX_BUFFERED_BYTES) -> None:
         data = line.encode("utf-8", "backslashreplace") + b"\n"
-        if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
+        if self._buffered_bytes + len(data) > limit_bytes:
             self.lost += 1
             return
         self._buffer.append(data)
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -66,6 +66,9 @@
     "audit_events_total", "counter", "Records of the audit trail.", ("kind", "outcome")
 )
 LOOP_GAPS = Family("loop_gaps_total", "counter", "Pauses of the process beyond the bound.")
+LOOP_LATE = Family(
+    "loop_late_total", "counter", "Periodic checks that ran half a second late or more."
+)
 
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
 CONCURRENCY_LIMIT = Family("concurrency_limit_calls", "gauge", "Limit of the calls in flight.")
@@ -87,6 +90,7 @@
     PLATFORM_READS,
     AUDIT_EVENTS,
     LOOP_GAPS,
+    LOOP_LATE,
 )
 GAUGES = (
     QUEUE_DEPTH,
--- a/tests/processes/soak/checker.py
+++ b/tests/processes/soak/checker.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Iterator
+from itertools import accumulate
 
 import attrs
 
@@ -149,41 +150,34 @@
 
     def _check_regress(self) -> Iterator[Case]:
         """Find requests handled by an older version than one whose effect was seen before."""
-        starts = defaultdict(list)
-        for host, at_s in self.record.starts:
+        starts = defaultdict(lambda: [0.0])
+        for host, at_s in sorted(self.record.starts, key=lambda start: start[1]):
             starts[host].append(at_s)
-        by_host = defaultdict(list)
+        by_process = defaultdict(list)
         for sample in self.record.samples:
-            by_host[sample.host].append(sample)
-        for host, samples in by_host.items():
-            effects = sorted(self._list_effects(samples), key=lambda effect: effect[0])
+            begun_s = starts[sample.host][bisect_right(starts[sample.host], sample.sent_s) - 1]
+            by_process[sample.host, begun_s].append(sample)
+        for samples in by_process.values():
+            effects = sorted(self._list_effects(samples))
+            times = [at_s for at_s, _ in effects]
+            floors = list(accumulate((index for _, index in effects), max, initial=0))
             for sample in samples:
                 for at_s, handling in self._list_handlings(sample):
                     fitting = self._find_fitting(sample, handling, at_s)
-                    if not fitting:
-                        continue
-                    begun_s = max((s for s in starts[host] if s <= sample.sent_s), default=0.0)
-                    is_slowed = not self.is_in_touch(host, sample.sent_s, at_s)
+                    is_slowed = not self.is_in_touch(sample.host, sample.sent_s, at_s)
                     slack_s = REGRESS_SLACK_S * (SLOWED_FACTOR if is_slowed else 1) + MARGIN_S
-                    floor = max(
-                        (
-                            index
-                            for seen_s, sent_s, index in effects
-                            if begun_s < sent_s and seen_s + slack_s < sample.sent_s
-                        ),
-                        default=0,
-                    )
-                    if fitting[-1] < floor:
+                    floor = floors[bisect_left(times, sample.sent_s - slack_s)]
+                    if fitting and fitting[-1] < floor:
                         number = self.record.versions[floor].number
                         text = f"{handling}, while {number} had been in force there"
                         yield self._make("CONFIG-regress", sample, text)
 
-    def _list_effects(self, samples: list[Sample]) -> Iterator[tuple[float, float, int]]:
+    def _list_effects(self, samples: list[Sample]) -> Iterator[tuple[float, int]]:
         for sample in samples:
             for work in self.runs_of(sample):
                 fitting = self._find_fitting(sample, work.service, work.at_s)
                 if fitting and fitting[0] > 0:
-                    yield work.at_s, sample.sent_s, fitting[0]
+                    yield work.at_s, fitting[0]
 
     def _find_fitting(self, sample: Sample, handling: str, at_s: float) -> list[int]:
         newest = bisect_right(self._times, at_s + MARGIN_S)
--- a/tests/wisteriaproxy/test_log_budget.py
+++ b/tests/wisteriaproxy/test_log_budget.py
@@ -3,7 +3,12 @@
 import logging
 import os
 
-from wisteriaproxy.log_budget import BoundedHandler, LineBudget, classify_record
+from wisteriaproxy.log_budget import (
+    MAX_BUFFERED_BYTES,
+    BoundedHandler,
+    LineBudget,
+    classify_record,
+)
 
 
 def make_record(level: int = logging.INFO, **extra: object) -> logging.LogRecord:
@@ -56,3 +61,30 @@
     assert sum(budget.take_dropped().values()) == 46 + 1
     os.close(reader)
     os.close(writer)
+
+
+def test_requests_beyond_the_budget_leave_room_for_changes_of_state() -> None:
+    """Guards against a configuration change that no line shows while load is high."""
+    budget = LineBudget()
+    state = classify_record(make_record())
+    for now_ms in range(10_000):
+        for code in (0, 303):
+            budget.take(now_ms / 1_000, classify_record(make_record(request_id="r", code=code)))
+        if now_ms % 100 == 0:
+            assert budget.take(now_ms / 1_000, state)
+
+
+def test_lines_of_requests_leave_a_slow_reader_room_for_changes_of_state() -> None:
+    """Guards against a configuration change that no line shows while the reader is behind."""
+    reader, writer = os.pipe()
+    handler = BoundedHandler(writer, LineBudget(per_s=1e6, burst=1e6, level=1e6))
+    handler.setFormatter(logging.Formatter("%(message)s " + "x" * 1_000))
+    served = make_record(request_id="r", code=0)
+    for _ in range(MAX_BUFFERED_BYTES // 1_000 * 2):
+        handler.emit(served)
+    lost = handler.lost
+    assert lost > 0
+    handler.emit(make_record())
+    assert handler.lost == lost
+    os.close(reader)
+    os.close(writer)
