--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -46,6 +46,7 @@
     CONTROL_REFUSED,
     IN_FLIGHT,
     LINK_FAULTS,
+    LOOP_GAP,
     MISDIRECTED_CALLS,
     READY,
     RETRIES,
@@ -541,6 +542,7 @@
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
         self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self.exchange.version))
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
+        self.metrics.set_gauge(LOOP_GAP, lambda: self.gaps.longest_ms / _MS_PER_S)
 
 
 async def _wait_for_end(count_calls: Callable[[], int]) -> None:
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -96,6 +96,9 @@
     "Failures of long-running tasks, which were started again.",
     ("task",),
 )
+LOOP_LATE = Family(
+    "loop_late_total", "counter", "Periodic checks that ran half a second late or more."
+)
 
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
 CONCURRENCY_LIMIT = Family("concurrency_limit_calls", "gauge", "Limit of the calls in flight.")
@@ -122,6 +125,7 @@
     CONTROL_REFUSED,
     PLATFORM_REFUSED,
     TASK_FAILURES,
+    LOOP_LATE,
 )
 GAUGES = (
     QUEUE_DEPTH,
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -135,6 +135,8 @@
     ----------
     runs : list of Run
         Requests that any backend server has begun to run, in order.
+    on_upstream : callable
+        Called with a machine before its new backend server listens.
     """
 
     machines: list[Machine] = attrs.field(factory=list)
@@ -143,6 +145,7 @@
     store: Store = attrs.field(init=False)
     version: int = 0
     _claim: socket.socket | None = None
+    on_upstream: Callable[[Machine], None] = lambda machine: None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
@@ -264,6 +267,7 @@
             return reply
 
         upstream.http.handle = handle
+        self.on_upstream(machine)
         await upstream.http.async_setup()
         if is_registered:
             self.register(machine)
