--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -38,7 +38,15 @@
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
-from ..metrics import AUDIT_EVENTS, CONFIG_VERSION, IN_FLIGHT, LINK_FAULTS, READY, Metrics
+from ..metrics import (
+    AUDIT_EVENTS,
+    CONFIG_VERSION,
+    IN_FLIGHT,
+    LINK_FAULTS,
+    LOOP_GAP,
+    READY,
+    Metrics,
+)
 from ..responders import LocalCall
 from ..serving import ServingHandler
 from ..settings import SettingsErrors, load_settings_of
@@ -411,6 +419,7 @@
             "cold": self.serving.gate.cold_start.is_cold(now_ms),
             "rates": self.rate_limiter.describe(now_ms),
             "peers": self.exchange.describe(now_ms),
+            "platform": self._source.describe(now_ms),
         }
 
     def reload_settings(self) -> None:
@@ -504,6 +513,7 @@
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
         self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self.exchange.version))
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
+        self.metrics.set_gauge(LOOP_GAP, lambda: self.gaps.longest_ms / _MS_PER_S)
 
 
 async def _wait_for_end(count_calls: Callable[[], int]) -> None:
--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -78,8 +78,12 @@
 DEFAULT_MAX_CONNECTIONS = 300
 """Connections to the backend server until the configuration gives a limit."""
 
-DEFAULT_WATCH_MS = 25_000
-"""Maximum wait of one watch: below the 30 s that stores of this kind allow."""
+DEFAULT_WATCH_MS = 1_000
+"""Maximum wait of one watch: an answer that was lost, or a connection that has gone silent, shows
+only after it, and what changed meanwhile must be known within 3 s."""
+
+DEFAULT_WATCH_TIMEOUT_MS = 500
+"""Time beyond its wait after which a watch counts as lost; well above a usual answer's."""
 
 DEFAULT_STORE_TIMEOUT_MS = 1_000
 """Timeout of a store request, which usually takes milliseconds."""
@@ -87,8 +91,9 @@
 DEFAULT_STORE_BACKOFF_MS = 100
 """Initial back-off after a failed read."""
 
-DEFAULT_STORE_BACKOFF_MAX_MS = 2_000
-"""Maximum back-off after failed reads: a change must be in force within a few seconds."""
+DEFAULT_STORE_BACKOFF_MAX_MS = 1_000
+"""Maximum back-off after failed reads: with the time-out of a read before it, changes of an outage
+must be known within 3 s of its end."""
 
 DEFAULT_STOP_LIMIT_MS = 5_000
 DEFAULT_RETRY_RATIO = 0.2
--- a/libs/daemon/src/wisteriaproxy/mesh/settings.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/settings.py
@@ -19,6 +19,7 @@
     DEFAULT_STORE_BACKOFF_MS,
     DEFAULT_STORE_TIMEOUT_MS,
     DEFAULT_WATCH_MS,
+    DEFAULT_WATCH_TIMEOUT_MS,
 )
 
 _MS_PER_S = 1_000
@@ -115,6 +116,9 @@
     """Time-outs and intervals in milliseconds."""
 
     watch_ms: int = setting("Maximum wait of one watch at the store.", TIME, DEFAULT_WATCH_MS)
+    watch_timeout_ms: int = setting(
+        "Time beyond its wait after which a watch counts as lost.", TIME, DEFAULT_WATCH_TIMEOUT_MS
+    )
     read_timeout_ms: int = setting(
         "Timeout of a request to the store.", TIME, DEFAULT_STORE_TIMEOUT_MS
     )
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -59,6 +59,9 @@
     def set_reading(self, is_reading: bool) -> None:
         """Begin or end to watch; others tell this daemon what changes while it is off."""
 
+    def describe(self, now_ms: int) -> dict[str, object]:
+        """Return when each part of the platform was last read, for operators."""
+
     def decode_document(self, content: bytes) -> PublishedConfig | None:
         """Return the configuration in `content`, or None if it is invalid."""
 
--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -354,6 +354,11 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def close_idle(self) -> None:
+        """Close the idle connections, so that the next request opens one."""
+        while self._idle:
+            self._idle.popleft().close()
+
     async def async_unload(self) -> None:
         for connection in [*self._idle, *self._busy]:
             connection.close()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -73,6 +73,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self._transport)
+        self._server.silent.discard(self._transport)
         for task in self._tasks:
             task.cancel()
 
@@ -108,6 +109,8 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             self._transport.abort()
             return
+        if self._transport in self._server.silent:
+            return
         self._transport.write(reply.encode())
         if reply.closes:
             self._transport.close()
@@ -119,6 +122,7 @@
     def __init__(self, host: str, port: int, handle: Handler) -> None:
         self.host, self.port, self.handle = host, port, handle
         self.connections: set[Any] = set()
+        self.silent: set[Any] = set()
         self.accepted = 0
         self.cancelled = 0
         self._server: asyncio.Server | None = None
@@ -127,6 +131,10 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: _Connection(self), self.host, self.port)
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open; new ones work."""
+        self.silent |= self.connections
+
     async def async_unload(self) -> None:
         if self._server is not None:
             self._server.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -213,3 +213,23 @@
 
     await wait_until(reset_until_lost)
     await wait_until(lambda: was_logged("store_back"))
+
+
+async def test_a_lost_watch_is_seen_in_log_and_status_and_is_no_outage(
+    mesh: Mesh, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a reader whose old knowledge shows nowhere while its watch goes unanswered."""
+    caplog.set_level(logging.INFO)
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    mesh.store.http.silence_connections()
+    mesh.publish(make_config(version=2))
+    await wait_until(lambda: node.daemon.exchange.version == 2)
+    events = [record.message for record in caplog.records]
+    assert "store_watch_lost" in events
+    assert "store_lost" not in events
+    platform = node.daemon.describe_status()["platform"]
+    assert isinstance(platform, dict)
+    assert set(platform) == {"op/", "servers/"}
+    assert all(part["answer_age_ms"] < WAIT_S * 1_000 for part in platform.values())
+    assert "wisteriaproxy_config_age_seconds" in node.daemon.metrics.render().decode()
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -18,7 +18,7 @@
 
 import attrs
 import orjson
-from tests.platform.standins import APP, STORE, Reply, Request, Store, Upstream
+from tests.platform.standins import APP, STORE, HttpStandin, Reply, Request, Store, Upstream
 from tests.platform.support import HOST, KEY, read_reply
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -28,6 +28,8 @@
 RESTART_DELAY_S = 0.5
 CONFIG_APPLY_S = 2.0
 """Time within which a version must be in force while the store is stable."""
+DRAIN_S = 2.0
+"""Time after which a server whose leaving was acknowledged gets no calls."""
 STABLE_WINDOW_S = 3.0
 """Time after a disruption of the store within which it doesn't count as stable."""
 
@@ -140,14 +142,16 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
+    _fronts: dict[str, HttpStandin] = attrs.field(factory=dict)
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
 
     async def async_setup(self) -> None:
-        """Start the store in the first subnet whose port is free."""
-        for subnet in range(FIRST_SUBNET, LAST_SUBNET):
-            self.subnet = subnet
+        """Start the store in a free subnet; test runs side by side begin at different ones."""
+        count = LAST_SUBNET - FIRST_SUBNET
+        for number in range(count):
+            self.subnet = FIRST_SUBNET + (os.getpid() + number) % count
             self.store = Store(self.host(1))
             self.store.page_size = 500
             try:
@@ -165,12 +169,21 @@
             elif machine._keeper is not None:
                 machine._keeper.cancel()
             await machine.upstream.http.async_unload()
+        for front in self._fronts.values():
+            await front.async_unload()
         await self.store.http.async_unload()
         self._folder.cleanup()
 
     def host(self, last: int) -> str:
         return f"127.78.{self.subnet}.{last}"
 
+    async def add_store_front(self, zone: str) -> HttpStandin:
+        """Give the machines of a zone an address of the store of their own; call before `add`."""
+        front = HttpStandin(self.host(2 + len(self._fronts)), STORE, self.store.http.handle)
+        await front.async_setup()
+        self._fronts[zone] = front
+        return front
+
     # the operator
 
     def publish(self, **changes: Any) -> dict[str, Any]:
@@ -205,6 +218,8 @@
         return machine
 
     def _make_settings(self, host: str, service: str, zone: str) -> str:
+        front = self._fronts.get(zone)
+        store = front.host if front is not None else self.host(1)
         return f"""
 [vm]
 id = "{host}"
@@ -218,7 +233,7 @@
 [backend]
 address = "{host}:{APP}"
 [store]
-address = "{self.host(1)}:{STORE}"
+address = "{store}:{STORE}"
 [bounds]
 grace_s = 6
 strict_revocation = false
