--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -449,6 +449,7 @@
             "cold": self.serving.gate.cold_start.is_cold(now_ms),
             "rates": self.rate_limiter.describe(now_ms),
             "peers": self.exchange.describe(now_ms),
+            "platform": self._source.describe(now_ms),
         }
 
     def reload_settings(self) -> None:
