Hold the subnet of a fleet also while its store is stopped

Tests of two worktrees or workers shared a loopback subnet when the first had stopped its store, since the store's port was the only mark of a subnet in use: seen as EADDRINUSE at 127.78.20.11:8005, and as a ready page of another test's daemon.

--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -140,21 +141,24 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
+    _claim: socket.socket | None = None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
 
     async def async_setup(self) -> None:
-        """Start the store in the first subnet whose port is free."""
+        """Start the store in the first subnet that no other test has claimed."""
         for subnet in range(FIRST_SUBNET, LAST_SUBNET):
             self.subnet = subnet
             self.store = Store(self.host(1))
             self.store.page_size = 500
             try:
+                # held also while a test has stopped the store
+                self._claim = socket.create_server((self.host(2), STORE))
                 await self.store.http.async_setup()
                 return
             except OSError:
-                continue
+                self._release()
         raise AssertionError("no free loopback subnet")
 
     async def async_unload(self) -> None:
@@ -166,8 +170,14 @@
                 machine._keeper.cancel()
             await machine.upstream.http.async_unload()
         await self.store.http.async_unload()
+        self._release()
         self._folder.cleanup()
 
+    def _release(self) -> None:
+        if self._claim is not None:
+            self._claim.close()
+            self._claim = None
+
     def host(self, last: int) -> str:
         return f"127.78.{self.subnet}.{last}"
 
