Survive signals and a busy port during the start of a daemon

What the platform sees: a daemon that gets SIGHUP or SIGTERM in the first half second, while it imports its libraries, ends by the signal (exit status -1 or -15); one whose port is still held ends with exit status 1.

Cause: the default action of a signal holds until the event loop runs; an address in use ended the task group. A port in use is tried again until the daemon stops; the one for operators holds up nothing.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -1,10 +1,11 @@
 """Mesh daemon: builds the components, applies what the platform publishes, shuts down."""
 
 import asyncio
+import errno
 import itertools
 import logging
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -76,6 +77,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_PORT_RETRY_S = 0.2
+"""Interval at which a port that is in use is tried again: the process before may be ending."""
 _STOP_POLL_S = 0.02
 """Interval at which a stop checks whether calls are in flight; short compared to the grace."""
 _NOT_READY_RETRY_MS = 200
@@ -354,10 +358,11 @@
     async def run(self) -> bool:
         """Run until a stop is requested; return whether every call was finished."""
         listen = self.settings.listen
-        await self.ready_port.async_setup(listen.ready)
-        await self.operator_port.async_setup(listen.operators)
-        await self.links.async_setup(*parse_address(listen.peers))
-        await self.callers.async_setup(*parse_address(listen.callers))
+        # calls can be served while the port for operators is in use
+        self.tasks.start_soon(self._open_port, self.operator_port.async_setup, listen.operators)
+        await self._open_port(self.ready_port.async_setup, listen.ready)
+        await self._open_port(self.links.async_setup, *parse_address(listen.peers))
+        await self._open_port(self.callers.async_setup, *parse_address(listen.callers))
         failures = self.metrics.counter(TASK_FAILURES)
         runs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             "gaps": self.gaps.run,
@@ -382,6 +387,21 @@
         self.tasks.cancel_scope.cancel()
         return is_clean
 
+    async def _open_port(self, setup: Callable[..., Awaitable[Any]], *address: Any) -> None:
+        """Start to listen; while the address is in use, try again until the daemon stops."""
+        is_first = True
+        while not self.stopping.is_set():
+            try:
+                await setup(*address)
+                return
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+            if is_first:
+                _LOGGER.warning("port_in_use", extra={"address": ":".join(map(str, address))})
+            is_first = False
+            await anyio.sleep(_PORT_RETRY_S)
+
     async def _finish(self) -> bool:
         """Refuse new calls, wait for calls in flight, then close everything."""
         self.entry.is_stopping = True
@@ -555,7 +575,9 @@
 
 async def _watch_signals(daemon: MeshDaemon) -> None:
     """Stop gracefully on SIGTERM and SIGINT; reload settings on SIGHUP."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with anyio.open_signal_receiver(*_SIGNALS) as signals:
+        # the program may have blocked signals since its start
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
         async for received in signals:
             if received == signal.SIGHUP:
                 daemon.reload_settings()
