Refuse settings with numbers or nesting that no type can hold

A settings file with a number of 400 digits, or 5,000 nested lists, ended the daemon when it was read again (exit status 1): OverflowError and RecursionError weren't among the errors that refuse a file. Half-written, empty, undecodable and removed files were refused before as well; the test covers them.

--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -245,7 +245,7 @@
         rule: Rule = field.metadata[META_RULE]
         try:
             value = self.converter.structure(raw, field.type)  # type: ignore[arg-type]
-        except (TypeError, ValueError) as error:
+        except (TypeError, ValueError, OverflowError) as error:
             self._add_error(key, str(error), rule.allowed)
             return None
         if not rule.is_allowed(value):
@@ -291,7 +291,7 @@
     """
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return SettingsErrors((SettingsError("(file)", str(error), "a TOML document"),))
     reader = _Reader(_make_converter(folder))
     settings = reader.read(document, kind)
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -60,3 +60,27 @@
     await fleet.wait_ready(machine)
     assert (await fleet.call(machine, "/yields/1")).status == 200
     assert machine.ends == []
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"", b"[vm", b"\xff\xfe", b"[bounds]\ngrace_s = 1" + b"0" * 400, b"a = " + b"[" * 5000],
+)
+async def test_odd_settings_are_refused_and_the_daemon_goes_on(
+    fleet: Fleet, content: bytes
+) -> None:
+    """Guards against a settings file that is read half written, or holds what no type can."""
+    fleet.publish()
+    (machine,) = await fleet.add([("yield", "a")])
+    machine.settings.write_bytes(content)
+    machine.send_signal(signal.SIGHUP)
+    limit_s = time.monotonic() + START_LIMIT_S
+    while not machine.count_events("settings_refused"):
+        assert time.monotonic() < limit_s
+        assert machine.ends == []
+        await asyncio.sleep(0.05)
+    machine.settings.unlink()
+    machine.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    assert (await fleet.call(machine, "/yields/1")).status == 200
+    assert machine.ends == []
