Let no entry of an unconfigured service hide the server at its address

Cause: VMs are told apart by IP address, and of several entries with one address the list took the one with the latest start, whatever service it named.

Before the fix test_an_entry_of_a_service_without_configuration_hides_no_server failed: 503, "no VM runs the service", in place of 200, with an entry of the service "unknown" at another port of the VM's address.

The fix: entries of configured services come before others at the same address, and the list is made anew when the configured services change. A daemon without a configuration lists as before.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -295,8 +295,11 @@
         if document.version <= known:
             return
         now_ms = self.clock.now_ms()
+        had_services = self.published.services if self.published is not None else None
         self.published = published
         self.fleet.apply_document(document)
+        if self.vm_list is not None and published.services != had_services:
+            self.exchange.update_list()
         self.cold_start.apply_document(document)
         self.rate_limiter.apply_rates(now_ms, published.rates)
         ended = 0
--- a/libs/daemon/src/wisteriaproxy/mesh/directory.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/directory.py
@@ -1,6 +1,7 @@
 """Entries of backend servers, from the store or from other daemons, in the store's order."""
 
 import enum
+from collections.abc import Container
 
 import attrs
 
@@ -89,5 +90,6 @@
         """Return all entries."""
         return EntryChanges(True, START, self.position, self.roster.entries())
 
-    def make_list(self) -> VmList:
-        return self.roster.make_list()
+    def make_list(self, services: Container[str] | None = None) -> VmList:
+        """Return the list of VMs; see `Roster.make_list`."""
+        return self.roster.make_list(services)
--- a/libs/daemon/src/wisteriaproxy/mesh/news.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/news.py
@@ -91,7 +91,7 @@
             send=self.control.send,
             send_document=self._send_document,
             set_reading=self._set_reading,
-            on_list=lambda: self.update_vm_list(self.node.directory.make_list()),
+            on_list=self.update_list,
             on_states=self._handle_states,
             on_evacuations=self.on_evacuations,
         )
@@ -156,6 +156,12 @@
             _LOGGER.info("backend_server_leaving", extra={"vm": vm_id, "instance": instance})
             self.on_change()
 
+    def update_list(self) -> None:
+        """Make the list of VMs anew, from the entries and the services that are known now."""
+        published = self.read_published()
+        services = published.services if published is not None else None
+        self.update_vm_list(self.node.directory.make_list(services))
+
     def apply_list(self, vm_list: VmList) -> None:
         """Rank relays, and record which processes leave and which have been replaced."""
         self.leaving_servers.apply_list(vm_list)
--- a/libs/daemon/src/wisteriaproxy/mesh/roster.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/roster.py
@@ -1,5 +1,7 @@
 """Backend servers in the store, retained across its outages and restores."""
 
+from collections.abc import Container
+
 import attrs
 
 from wisteria_core import VmId, VmList
@@ -130,19 +132,25 @@
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
 
-    def make_list(self) -> VmList:
-        """Return the list of VMs; of several entries with one address the latest start wins."""
+    def make_list(self, services: Container[str] | None = None) -> VmList:
+        """Return the list of VMs; of several entries with one address the latest start wins.
+
+        Parameters
+        ----------
+        services : container of str, optional
+            Services of the configuration. An entry of another service may be of another writer and
+            hides no server of these.
+        """
         self._version += 1
-        newest: dict[VmId, ServerEntry] = {}
+        newest: dict[VmId, tuple[tuple[bool, int, StorePosition], ServerEntry]] = {}
         retained_entries = [retained.entry for retained in self._retained.values()]
         for entry in (*retained_entries, *self._entries.values()):
+            is_configured = services is None or entry.vm.service in services
+            order = (is_configured, entry.started_ms, entry.position)
             known = newest.get(entry.vm.vm_id)
-            if known is None or (entry.started_ms, entry.position) >= (
-                known.started_ms,
-                known.position,
-            ):
-                newest[entry.vm.vm_id] = entry
-        return VmList(self._version, tuple(newest[vm_id].vm for vm_id in sorted(newest)))
+            if known is None or order >= known[0]:
+                newest[entry.vm.vm_id] = (order, entry)
+        return VmList(self._version, tuple(newest[vm_id][1].vm for vm_id in sorted(newest)))
 
 
 def _find_grace_end(now_ms: int, *starts_ms: int | None) -> int | None:
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -31,6 +31,11 @@
     content: bytes
     rates: dict[str, AccountRate]
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of the configured services."""
+        return frozenset(service.name for service in self.document.services)
+
 
 class Listener(Protocol):
     """Receives what the platform publishes."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,8 +6,8 @@
 import anyio
 import pytest
 
-from .standins import Reply, Request
-from .support import KEY, WAIT_S, Mesh, make_config, make_route, wait_until
+from .standins import APP, Reply, Request
+from .support import KEY, WAIT_S, Mesh, Node, make_config, make_route, wait_until
 
 pytestmark = pytest.mark.anyio
 
@@ -213,3 +213,34 @@
 
     await wait_until(reset_until_lost)
     await wait_until(lambda: was_logged("store_back"))
+
+
+async def test_an_entry_of_a_service_without_configuration_hides_no_server(mesh: Mesh) -> None:
+    """Guards against an entry of another writer that takes a VM from the list by its address."""
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    foreign = {
+        "service": "unknown",
+        "address": f"{node.host}:{APP + 1}",
+        "zone": "north",
+        "config_version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_s": 0,
+        "sequence": 1,
+        "born": 1_800_000_000_000,
+    }
+    mesh.store.put("servers/i-foreign", json.dumps(foreign).encode())
+    await wait_until(lambda: len(node.daemon.exchange.node.directory.roster.entries()) == 2)
+    assert (await mesh.call(node, "/orders/1", "POST")).status == 200
+    unknown = make_config()["services"][0] | {"name": "unknown"}
+    # once configured, the service has the server that started last at the address
+    mesh.publish(make_config(2, services=[*make_config()["services"], unknown]))
+    await wait_until(lambda: list_instances(node) == ["i-foreign"])
+    mesh.publish(make_config(3))
+    await wait_until(lambda: list_instances(node) == [node.upstream.instance])
+
+
+def list_instances(node: Node) -> list[str]:
+    """Return the processes that the daemon of a node lists."""
+    return [vm.instance for vm in node.daemon.vm_list or ()]
