Apply another service of the VM from changed settings at once

What callers would see: requests that begin on a VM whose backend server was replaced by one of another service reach the others as calls of the old service (rule UNASKED), as long as the daemon isn't restarted. Found by looking for the cause of ROUTE elsewhere: service and process of a VM were taken at different times.

Cause: the caller dialect, the admission gate and the cold start monitor took the service from the settings at the start of the daemon, though the file may change without a signal and is read again.

Before the fix test_requests_name_the_service_of_changed_settings failed, with daemons as real processes: (200, 'yield') == (200, 'order').

The fix: they follow the settings in force. The settings come before the store's entry here, as the entry of the earlier backend server may still be listed at the address.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -194,7 +194,7 @@
             PoisonDetector(self.vm_id, str(self.incarnation)),
             self.backend,
             clock,
-            lambda: self.fleet.list_service_peers(settings.vm.service, self.vm_id),
+            lambda: self.fleet.list_service_peers(self.settings.vm.service, self.vm_id),
             self.control.send,
         )
         self.control.register(crashes.handle_report, CrashReport, SuspicionCleared)
@@ -248,7 +248,7 @@
         )
         self.entry = EntryHandler(
             dialect=platform.caller_dialect(
-                settings,
+                lambda: self.settings,
                 lambda: self.serving.in_flight > 0,
                 lambda remaining_ms: registry.find_by_deadline(clock.now_ms() + remaining_ms),
             ),
@@ -451,10 +451,21 @@
             return
         if loaded == self.settings:
             return
-        is_log_only = attrs.evolve(loaded, log=self.settings.log) == self.settings
+        before = self.settings
+        vm = attrs.evolve(before.vm, service=loaded.vm.service)
+        is_applied = attrs.evolve(before, log=loaded.log, vm=vm) == loaded
         logging.getLogger(__package__.partition(".")[0]).setLevel(loaded.log.level.upper())
         self.settings = loaded
-        _LOGGER.info("settings_reloaded", extra={"needs_restart": not is_log_only})
+        if loaded.vm.service != before.vm.service:
+            self._apply_service(loaded.vm.service)
+        _LOGGER.info("settings_reloaded", extra={"needs_restart": not is_applied})
+
+    def _apply_service(self, service: str) -> None:
+        """Take over that a backend server of another service runs on this VM."""
+        self.serving.gate.service = service
+        self.cold_start.service = service
+        if self.published is not None:
+            self.cold_start.apply_document(self.published.document)
 
     async def _watch_settings(self) -> None:
         """Poll until cancelled."""
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -81,12 +81,13 @@
     make_source : callable
         Returns the source of configuration and list of VMs.
     caller_dialect : callable
-        Returns the HTTP dialect towards callers. Its arguments besides the settings tell whether
-        the backend server is busy, and find the running call with a given remaining time in ms.
+        Returns the HTTP dialect towards callers. Its arguments return the settings in force, tell
+        whether the backend server is busy, and find the running call with a given remaining time
+        in ms.
     backend_dialect : callable
         Returns the HTTP dialect towards the backend server.
     """
 
     make_source: Callable[[MeshSettings, Clock, Metrics], Source]
-    caller_dialect: Callable[[MeshSettings, IsBusy, FindParent], CallerDialect]
+    caller_dialect: Callable[[Callable[[], MeshSettings], IsBusy, FindParent], CallerDialect]
     backend_dialect: Callable[[MeshSettings], BackendDialect]
--- a/tests/processes/test_reused_addresses.py
+++ b/tests/processes/test_reused_addresses.py
@@ -92,3 +92,20 @@
     gate.released.set()
     statuses = [(await call).status for call in calls]
     assert find_misdirected(fleet) == [], statuses
+
+
+async def test_requests_name_the_service_of_changed_settings(fleet: Fleet) -> None:
+    """Guards against a daemon that goes on naming the service of the settings it started with."""
+    fleet.publish()
+    entry, _ = await fleet.add([("yield", "a"), ("order", "a")])
+    await fleet.end_upstream(entry)
+    entry.settings.write_text(entry.settings.read_text().replace('"yield"', '"order"'))
+    await fleet.start_upstream(entry, service="order")
+    async with asyncio.timeout(5):
+        while entry.count_events("settings_reloaded") == 0:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+    for number in range(ORDERS):
+        attempt = fleet.make_attempt()
+        reply = await fleet.call(entry, f"/orders/{number}", "POST", attempt=attempt)
+        (run,) = fleet.find_runs(attempt)
+        assert (reply.status, run.request.headers["wisteriaproxy-caller-service"]) == (200, "order")
