Exit only when callers and peers have been sent their answers

What callers saw: a planned stop cut off the end of an answer, for a client that reads slowly and for calls of other daemons whose answers still waited for a busy peer.

Cause: a stop counted a request as finished when its answer had been written to the transport. The process then ended with what the transports still held, up to 64 KB for a caller and any amount on a link. A link was closed while its peer still sent, so that the kernel reset it and discarded what the peer had not received.

Why this works: the stop waits until each caller's connection is closed, which follows its last byte, and until peers have acknowledged what was written. A link sends the end of its stream, and reads on until the peer closes, so it isn't reset. The wait ends at 0.97 of the grace period, and `daemon_stopped` says how many connections still had bytes. Links that another one to the same peer had superseded were not closed at a stop at all; the pool now keeps all of them.

The subnet of a fleet of processes is reserved by a port of its own, as the store's port is free while a test has stopped the store: two fleets of different test runs took the same addresses (once).

--- a/libs/daemon/src/wisteriaproxy/app.py
+++ b/libs/daemon/src/wisteriaproxy/app.py
@@ -17,6 +17,7 @@
 from .audit import AuditTrail
 from .control import ControlFault
 from .diagnostics import Diagnostics
+from .flush import wait_flushed
 from .gaps import GapMonitor
 from .incarnation import make_incarnation
 from .metrics import AUDIT_EVENTS, LINK_FAULTS, PLATFORM_READS, Metrics
@@ -44,6 +45,8 @@
 _MS_PER_S = 1_000
 RESULT_BUFFER = 16
 STOP_POLL_MS = 20
+FLUSH_FRACTION = 0.1
+"""Time for callers to read the rest of their answers, as a fraction of the stop limit."""
 LINK_FAULT_REASONS = frozenset(fault.value for fault in (*FrameFault, ControlFault.GARBLED))
 
 
@@ -181,7 +184,9 @@
         await anyio.sleep(STOP_POLL_MS / _MS_PER_S)
         await self.shared.links.async_unload()
         await self.path.backend.async_unload()
-        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
+        limit_s = self.settings.timing.stop_limit_ms * FLUSH_FRACTION / _MS_PER_S
+        unflushed = await wait_flushed(self.path.callers, self.shared.links, limit_s)
+        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut, "unflushed": unflushed})
         return cut == 0
 
     async def _wait_until_idle(self) -> None:
--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -29,6 +29,11 @@
     _connections: set[HttpServerConnection] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open, or are closed once their write buffer has been flushed."""
+        return len(self._connections)
+
     async def async_setup(self, host: str, port: int) -> int:
         """Start listening; return the port number."""
         context = None
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -35,6 +35,7 @@
 from ..crashes import CrashMonitor
 from ..entry import EntryHandler
 from ..fleet import FleetView
+from ..flush import wait_flushed
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
@@ -73,6 +74,8 @@
 _STOP_FRACTION = 0.9
 """Fraction of the grace period after which calls in flight are cancelled, so that the daemon exits
 before the platform ends it."""
+_FLUSH_FRACTION = 0.97
+"""Fraction of the grace period after which the daemon exits although callers have not read all."""
 LOAD_BALANCER_CONFIG = LoadBalancerConfig(local_load=0.5, explore_share=0.01)
 """Servers of the own failure domain are preferred up to half load, below which no server queues.
 The share of calls sent elsewhere to compare latencies is small, as traffic between failure domains
@@ -366,12 +369,14 @@
         return is_clean
 
     async def _finish(self) -> bool:
-        """Refuse new calls, wait for calls in flight, then close everything."""
+        """Refuse new calls, wait for calls in flight and their answers, then close everything."""
+        grace_s = self.settings.bounds.grace_s
+        flush_until_s = anyio.current_time() + grace_s * _FLUSH_FRACTION
         self.entry.is_stopping = True
         self.serving.begin_stop()
         self.exchange.announce_leaving()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
-        with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_FRACTION):
+        with anyio.move_on_after(grace_s * _STOP_FRACTION):
             # calls that run on the backend server may make child calls through this daemon
             await _wait_for_end(lambda: self.serving.in_flight)
             await self.callers.async_unload()
@@ -386,8 +391,10 @@
         self.call_tasks.cancel_all()
         await self.links.async_unload()
         await self.backend.async_unload()
+        left_s = flush_until_s - anyio.current_time()
+        unflushed = await wait_flushed(self.callers, self.links, left_s)
         await self.ready_port.async_unload()
-        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
+        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut, "unflushed": unflushed})
         return cut == 0
 
     def start_drain(self) -> None:
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -21,7 +21,7 @@
 )
 from .const import PROTOCOL_VERSION, WINDOW_BYTES
 from .frames import FrameReader, encode_frame
-from .liveness import set_tcp_timeouts
+from .liveness import count_unacknowledged, set_tcp_timeouts
 from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
 from .tls import read_peer_names
 
@@ -162,11 +162,19 @@
         self._served: dict[int, ServedCall] = {}
         self._next_call_id = 1
         self._close_reason = "closed by the peer"
+        self._is_finishing = False
 
     @property
     def is_open(self) -> bool:
         """Whether the peer is authenticated and the transport is connected."""
-        return self.peer is not None and not self.closed.is_set()
+        return self.peer is not None and not self.closed.is_set() and not self._is_finishing
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether the peer has acknowledged all that was written, or is gone."""
+        if self._transport is None or self.closed.is_set():
+            return True
+        return count_unacknowledged(self._transport) == 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the TCP time-outs and send the hello."""
@@ -178,6 +186,8 @@
     def data_received(self, data: bytes) -> None:
         """Process the frames that `data` completes; close the link on a malformed one."""
         self.received_bytes += len(data)
+        if self._is_finishing:
+            return
         for frame in self._reader.feed(data):
             fault = self._handle_frame(frame)
             if fault is not None:
@@ -206,14 +216,23 @@
             self._transport.abort()
 
     def finish(self, reason: str) -> None:
-        """Close the link after its write buffer has been flushed."""
+        """Send the end of the stream after the write buffer, and wait for the peer to close.
+
+        What the peer still sends is read and dropped: closing with unread bytes would reset the
+        connection and discard the answers that the peer has not received.
+        """
         self._close_reason = reason
-        if self._transport is not None:
+        if self._transport is None or self.closed.is_set() or self._is_finishing:
+            return
+        self._is_finishing = True
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        else:
             self._transport.close()
 
     def send_frame(self, kind: FrameKind, call_id: int, payload: bytes) -> None:
-        """Write one frame; does nothing on a closed link."""
-        if self._transport is None or self.closed.is_set():
+        """Write one frame; does nothing on a link that is closed or being closed."""
+        if self._transport is None or self.closed.is_set() or self._is_finishing:
             return
         data = encode_frame(kind, call_id, payload)
         self.sent_bytes += len(data)
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -73,7 +73,8 @@
         self._links: dict[VmId, Link] = {}
         self._dialing: dict[VmId, anyio.Event] = {}
         self._redial_backoffs: dict[VmId, _RedialBackoff] = {}
-        self._accepted: set[Link] = set()
+        # includes links that another one to the same peer has superseded
+        self._all: set[Link] = set()
         self._server: asyncio.Server | None = None
 
     async def async_setup(self, host: str, port: int) -> int:
@@ -88,9 +89,17 @@
         """Stop listening and close every link after its write buffer has been flushed."""
         if self._server is not None:
             self._server.close()
-        for link in [*self._links.values(), *self._accepted]:
+        for link in list(self._all):
             link.finish("the daemon stops")
 
+    def count_unflushed(self) -> int:
+        """Return the links whose peers have not acknowledged all that was written."""
+        return sum(1 for link in self._all if not link.is_flushed)
+
+    def count_unclosed(self) -> int:
+        """Return the links that neither side has closed completely."""
+        return sum(1 for link in self._all if not link.closed.is_set())
+
     def find(self, vm_id: VmId) -> Link | None:
         """Return the open link to a peer, dialed or accepted, or None."""
         link = self._links.get(vm_id)
@@ -102,7 +111,7 @@
 
     def count_bytes(self) -> tuple[int, int]:
         """Return the bytes sent and received over the current links."""
-        links = {*self._links.values(), *self._accepted}
+        links = self._all
         return sum(one.sent_bytes for one in links), sum(one.received_bytes for one in links)
 
     def add(self, link: Link) -> None:
@@ -113,7 +122,7 @@
             self._links[link.peer.vm_id] = link
 
     def remove(self, link: Link) -> None:
-        self._accepted.discard(link)
+        self._all.discard(link)
         if link.peer is None:
             return
         if self._links.get(link.peer.vm_id) is link:
@@ -139,7 +148,7 @@
 
     def _accept_link(self) -> Link:
         link = Link(self._handler, self._hello, None)
-        self._accepted.add(link)
+        self._all.add(link)
         asyncio.get_running_loop().call_later(
             DEFAULT_HELLO_TIMEOUT_MS / _MS_PER_S, self._close_without_hello, link
         )
@@ -162,6 +171,7 @@
                     local_addr=self._local_addr,
                     server_hostname=vm.host if self._dial_context is not None else None,
                 )
+                self._all.add(link)
                 await link.opened.wait()
             if not link.is_open:
                 raise ConnectionAbortedError("the peer closed the link before its hello")
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -23,9 +24,11 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
+RESERVATION = 8007
 FIRST_SUBNET, LAST_SUBNET = 20, 250
 START_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
+ETHERNET_SEGMENT_BYTES = 1_460
 CONFIG_APPLY_S = 2.0
 """Time within which a version must be in force while the store is stable."""
 STABLE_WINDOW_S = 3.0
@@ -140,21 +143,28 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
+    _reservation: socket.socket | None = None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
 
     async def async_setup(self) -> None:
-        """Start the store in the first subnet whose port is free."""
-        for subnet in range(FIRST_SUBNET, LAST_SUBNET):
-            self.subnet = subnet
+        """Start the store in a subnet that no other fleet has reserved."""
+        count = LAST_SUBNET - FIRST_SUBNET
+        for offset in range(count):
+            self.subnet = FIRST_SUBNET + (os.getpid() + offset) % count
             self.store = Store(self.host(1))
             self.store.page_size = 500
+            # the store's port is free while a test has stopped the store
+            reservation = socket.socket()
             try:
+                reservation.bind((self.host(1), RESERVATION))
                 await self.store.http.async_setup()
-                return
             except OSError:
+                reservation.close()
                 continue
+            self._reservation = reservation
+            return
         raise AssertionError("no free loopback subnet")
 
     async def async_unload(self) -> None:
@@ -166,6 +176,8 @@
                 machine._keeper.cancel()
             await machine.upstream.http.async_unload()
         await self.store.http.async_unload()
+        if self._reservation is not None:
+            self._reservation.close()
         self._folder.cleanup()
 
     def host(self, last: int) -> str:
@@ -342,6 +354,110 @@
             return Reply(0)
 
 
+@attrs.define(eq=False)
+class KeptClient:
+    """A client that sends its requests one after the other on a kept connection.
+
+    Parameters
+    ----------
+    receive_bytes : int
+        Size of the receive buffer of the kernel; 0 for the default.
+    """
+
+    fleet: Fleet
+    machine: Machine
+    receive_bytes: int = 0
+    _reader: asyncio.StreamReader | None = None
+    _writer: asyncio.StreamWriter | None = None
+
+    @property
+    def is_open(self) -> bool:
+        return self._writer is not None
+
+    async def connect(self) -> None:
+        sock = socket.socket()
+        if self.receive_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+            # the segments of the loopback device, and the buffers to match, hold 64 KB
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
+        sock.setblocking(False)
+        try:
+            address = (self.machine.host, CALLERS)
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            self._reader, self._writer = await asyncio.open_connection(sock=sock, limit=4_096)
+        except OSError:
+            sock.close()
+            raise
+
+    async def call(
+        self,
+        path: str,
+        method: str = "GET",
+        timeout_ms: int = 2_000,
+        body: bytes = b"",
+        attempt: str | None = None,
+        pause_s: float = 0.0,
+        **headers: str,
+    ) -> Reply:
+        """Send a request and return its answer; status 0 if there is none, `closes` if it is short.
+
+        Parameters
+        ----------
+        pause_s : float
+            Time for which the client reads nothing after it has sent the request.
+        """
+        if self._writer is None:
+            await self.connect()
+        assert self._reader is not None
+        assert self._writer is not None
+        sent = {
+            "host": HOST,
+            "wisteriaproxy-attempt-id": attempt or self.fleet.make_attempt(),
+            "wisteriaproxy-timeout-ms": str(timeout_ms),
+            "authorization": f"Bearer {KEY}",
+            "content-length": str(len(body)) if body else "",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in sent.items() if value]
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000 + 1):
+                self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+                await asyncio.sleep(pause_s)
+                reply = await _read_kept_reply(self._reader)
+        except (OSError, TimeoutError):
+            reply = Reply(0, closes=True)
+        if reply.closes or reply.headers.get("connection") == "close":
+            self.close()
+        return reply
+
+    def close(self) -> None:
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+
+async def _read_kept_reply(reader: asyncio.StreamReader) -> Reply:
+    head, body = b"", bytearray()
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        reply = read_reply(head)
+        length = reply.headers.get("content-length")
+        if length is not None:
+            while len(body) < int(length):
+                data = await reader.read(int(length) - len(body))
+                if not data:
+                    raise ConnectionResetError
+                body += data
+        else:
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readexactly(2)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return attrs.evolve(read_reply(head), body=bytes(body), closes=True)
+    return attrs.evolve(reply, body=bytes(body), closes=False)
+
+
 def make_config(version: int, **changes: Any) -> dict[str, Any]:
     """Return a configuration of two services with a route each."""
     config: dict[str, Any] = {
