--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -52,9 +52,14 @@
     """Forwards a call until it is answered or refused for good."""
 
     async def forward(
-        self, head: CallHead, deadline_at_ms: int, allowance: RetryAllowance
+        self,
+        head: CallHead,
+        deadline_at_ms: int,
+        allowance: RetryAllowance,
+        *,
+        sent: list[str] | None = None,
     ) -> ForwardResult:
-        """Return the outcome of the call."""
+        """Return the outcome of the call; `sent` receives the destination of each attempt."""
 
 
 @attrs.define(eq=False)
@@ -270,9 +275,10 @@
     ) -> ResultCode:
         head = self._make_head(plan, rank, represented, span)
         if plan.route.repeatable:
-            forwarded = await self.forwarder.forward(head, plan.deadline_at_ms, allowance)
+            router: CallRouter = self.forwarder
         else:
-            forwarded = await self.at_most_once.forward(head, plan.deadline_at_ms, allowance)
+            router = self.at_most_once
+        forwarded = await router.forward(head, plan.deadline_at_ms, allowance, sent=plan.sent)
         plan.trace.update(
             vm=forwarded.vm_id,
             retries=forwarded.retries,
@@ -412,4 +418,6 @@
         }
         if plan is not None:
             extra |= plan.describe(started_ms)
+        elif (document := self.read_document()) is not None:
+            extra["config_version"] = document.version
         _LOGGER.log(self.log_level, "call_ended", extra=extra)
--- a/libs/daemon/src/wisteriaproxy/forward.py
+++ b/libs/daemon/src/wisteriaproxy/forward.py
@@ -51,6 +51,11 @@
 BeforeSend = Callable[[], Refusal | None]
 
 
+def describe_destination(vm_id: VmId, vm: Vm | None) -> str:
+    """Return where an attempt goes, for logs: VM, service and process of its backend server."""
+    return f"{vm_id}/{vm.service}/{vm.instance}" if vm is not None else f"{vm_id}/unknown"
+
+
 @attrs.define(eq=False)
 class ForwardResult:
     """The outcome of a forwarded call.
@@ -100,6 +105,7 @@
         prefer: VmId | None = None,
         exclude: frozenset[VmId] = frozenset(),
         before_send: BeforeSend | None = None,
+        sent: list[str] | None = None,
     ) -> ForwardResult:
         """Send a call, with retries, until it is answered or refused for good.
 
@@ -113,6 +119,8 @@
             VMs that must not be tried.
         before_send : callable, optional
             Called right before the first byte is sent. If it returns a refusal, nothing is sent.
+        sent : list of str, optional
+            Receives the destination of each attempt; see `describe_destination`.
         """
         load_balancer = self.fleet.find_load_balancer(head.service)
         budget = self.fleet.find_budget(head.service)
@@ -123,6 +131,7 @@
         run = _AttemptLoop(self, head, deadline_at_ms, allowance, load_balancer, budget, prefer)
         run.tried = exclude
         run.before_send = before_send
+        run.sent = sent if sent is not None else []
         return await run.run_attempts()
 
     async def send(
@@ -170,6 +179,7 @@
     earlier: RunState = RunState.NOT_RUN
     tried: frozenset[VmId] = frozenset()
     before_send: BeforeSend | None = None
+    sent: list[str] = attrs.field(factory=list)
 
     async def run_attempts(self) -> ForwardResult:
         """Make attempts until one is final."""
@@ -213,6 +223,7 @@
         sent_at_ms = clock.now_ms()
         lent = self.allowance.lend(self._attempt_id)
         vm = self.forwarder.fleet.find_vm(vm_id)
+        self.sent.append(describe_destination(vm_id, vm))
         head = self.head.for_attempt(
             allowance=lent,
             remaining_ms=self.deadline_at_ms - sent_at_ms,
--- a/libs/daemon/src/wisteriaproxy/once_router.py
+++ b/libs/daemon/src/wisteriaproxy/once_router.py
@@ -11,7 +11,7 @@
 from wisteria_wire import AnswerHead, CallHead
 
 from .answers import head_to_refusal, refusal_to_head
-from .forward import Forwarder, ForwardResult
+from .forward import Forwarder, ForwardResult, describe_destination
 from .once import make_run_key
 from .responders import Reply
 from .slots import SlotTable, ledger_slot
@@ -40,12 +40,20 @@
     random: Random
 
     async def forward(
-        self, head: CallHead, deadline_at_ms: int, allowance: RetryAllowance
+        self,
+        head: CallHead,
+        deadline_at_ms: int,
+        allowance: RetryAllowance,
+        *,
+        sent: list[str] | None = None,
     ) -> ForwardResult:
         """Send until answered or no retry is allowed."""
         retries = 0
         while True:
             forwarded = await self._attempt(head, deadline_at_ms, allowance)
+            if sent is not None and forwarded.vm_id is not None:
+                vm = self.forwarder.fleet.find_vm(forwarded.vm_id)
+                sent.append(describe_destination(forwarded.vm_id, vm))
             forwarded.retries += retries
             if not self._may_retry(forwarded.head, deadline_at_ms):
                 return forwarded
--- a/libs/daemon/src/wisteriaproxy/plan.py
+++ b/libs/daemon/src/wisteriaproxy/plan.py
@@ -21,6 +21,8 @@
         Priority of the request; see `Document.resolve_priority`.
     trace : dict
         Decisions made while the request was processed, as fields for the log line.
+    sent : list of str
+        Destinations of the attempts made so far; see `describe_destination`.
     """
 
     request: HttpRequest
@@ -34,6 +36,7 @@
     priority: Priority
     scope: CallScope = attrs.field(factory=CallScope)
     trace: dict[str, object] = attrs.field(factory=dict)
+    sent: list[str] = attrs.field(factory=list)
 
     def describe(self, started_ms: int) -> dict[str, object]:
         """Return log fields that explain the routing."""
@@ -42,6 +45,7 @@
             "service": self.service,
             "config_version": self.document.version,
             "time_ms": self.deadline_at_ms - started_ms,
+            "sent": " ".join(self.sent),
             **self.trace,
         }
         if self.caller.is_internal:
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -262,6 +262,7 @@
             ATTR_REQUEST_ID: head.request_id,
             ATTR_CODE: int(refusal.code),
             "reason": refusal.reason,
+            "instance": head.instance,
             "rank": head.rank,
             "time_ms": head.remaining_ms,
             **self.gate.describe(),
