Hold the loopback subnet of a test while its store is stopped

Four tests of tests/platform/test_call_log.py failed in a parallel run with "address already in use" (127.77.21.10): a mesh whose store a test had stopped lost its subnet to the next one. Both harnesses now hold a port of their own from start to end.

--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -20,6 +21,7 @@
 from .standins import APP, STORE, Reply, Request, Store, Upstream
 
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
+CLAIM = 8007
 FIRST_SUBNET = 20
 WAIT_S = 10.0
 KEY = "k" * 20
@@ -84,20 +86,19 @@
     subnet: int = 0
     nodes: list[Node] = attrs.field(factory=list)
     _ended: set[MeshDaemon] = attrs.field(factory=set)
+    _claim: socket.socket | None = None
     store: Store = attrs.field(init=False)
     _tasks: TaskGroup = attrs.field(init=False)
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
 
     async def async_setup(self) -> None:
-        """Start the store in the first subnet whose port is free."""
+        """Start the store in the first subnet that no other mesh has claimed."""
         for subnet in range(FIRST_SUBNET, 250):
             self.subnet = subnet
             self.store = Store(self._host(1))
-            try:
-                await self.store.http.async_setup()
+            self._claim = await claim_subnet(self.store)
+            if self._claim is not None:
                 break
-            except OSError:
-                continue
         self._tasks = anyio.create_task_group()
         await self._tasks.__aenter__()
 
@@ -112,6 +113,8 @@
             await node.daemon.ready_port.async_unload()
             await node.daemon.operator_port.async_unload()
         await self.store.http.async_unload()
+        if self._claim is not None:
+            self._claim.close()
         self._folder.cleanup()
 
     def publish(self, config: dict[str, Any]) -> None:
@@ -248,6 +251,21 @@
         return settings
 
 
+async def claim_subnet(store: Store) -> socket.socket | None:
+    """Start a store; return a socket that holds its subnet also while a test has stopped it.
+
+    Returns None if the subnet is taken.
+    """
+    claim = socket.socket()
+    try:
+        claim.bind((store.http.host, CLAIM))
+        await store.http.async_setup()
+    except OSError:
+        claim.close()
+        return None
+    return claim
+
+
 def hold_answers(node: Node) -> anyio.Event:
     """Make the backend server of a node answer only once the returned event is set."""
     released = anyio.Event()
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -20,11 +20,10 @@
 import attrs
 import orjson
 from tests.platform.standins import APP, STORE, HttpStandin, Reply, Request, Store, Upstream
-from tests.platform.support import HOST, KEY, read_reply
+from tests.platform.support import HOST, KEY, claim_subnet, read_reply
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
-CLAIM = 8007
 FIRST_SUBNET, LAST_SUBNET = 20, 250
 START_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
@@ -160,16 +159,9 @@
             self.subnet = subnet
             self.store = Store(self.host(1))
             self.store.page_size = 500
-            try:
-                # the store's own port is free while a test has stopped the store
-                self._claim = socket.create_server((self.host(1), CLAIM))
-            except OSError:
-                continue
-            try:
-                await self.store.http.async_setup()
+            self._claim = await claim_subnet(self.store)
+            if self._claim is not None:
                 return
-            except OSError:
-                self._claim.close()
         raise AssertionError("no free loopback subnet")
 
     async def async_unload(self) -> None:
