Refuse requests for which a daemon has no memory

Cause: nothing bounded the bodies that a daemon holds, and each was held up to five times over: received, copied, as message, as its encoding (twice, within Cap'n Proto) and as frame.

- A budget, a fraction of the memory that the settings state, covers the bodies of callers' requests and the long calls of peers.
A request without room is read to its end and dropped, and refused with 503 as not run (result 604) on a connection that stays open; a peer's call is skipped and refused alike.
- A body is copied fewer times: the receive buffer isn't kept beside its copy, and a long call is sent in the parts in which it is encoded.
- held_bytes shows what is held.

Not bounded by the budget: answers on their way to slow readers.

--- a/libs/core/src/wisteria_core/results.py
+++ b/libs/core/src/wisteria_core/results.py
@@ -65,6 +65,7 @@
     STOPPING = 601
     CONFIGURATION_INVALID = 602
     INTERNAL = 603
+    MEMORY_FULL = 604
 
 
 @attrs.frozen
@@ -161,6 +162,9 @@
     ResultCode.STOPPING: ResultInfo(503, "The daemon is stopping."),
     ResultCode.CONFIGURATION_INVALID: ResultInfo(500, "The configuration document is invalid."),
     ResultCode.INTERNAL: ResultInfo(500, "The daemon failed; its log says why."),
+    ResultCode.MEMORY_FULL: ResultInfo(
+        503, "The daemon holds as many bytes of other requests as its memory allows."
+    ),
 }
 
 
--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -7,6 +7,7 @@
 
 from wisteria_wire import (
     CALLER_BACKLOG,
+    ByteBudget,
     CallerLimits,
     HttpRequest,
     HttpServerConnection,
@@ -26,6 +27,7 @@
     spawn: Spawner
     tls: TlsSettings | None
     read_limits: Callable[[], CallerLimits] = CallerLimits
+    budget: ByteBudget = attrs.field(factory=ByteBudget)
     _connections: set[HttpServerConnection] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
@@ -48,7 +50,9 @@
             connection.close_when_idle()
 
     def _make_connection(self) -> HttpServerConnection:
-        return HttpServerConnection(self._start_request, self._connections, self.read_limits)
+        return HttpServerConnection(
+            self._start_request, self._connections, self.read_limits, self.budget
+        )
 
     def _start_request(self, request: HttpRequest) -> None:
         self.spawn(self.entry.handle, request)
--- a/libs/daemon/src/wisteriaproxy/diagnostics.py
+++ b/libs/daemon/src/wisteriaproxy/diagnostics.py
@@ -19,6 +19,7 @@
     CONCURRENCY_LIMIT,
     CONFIG_AGE,
     CONFIG_VERSION,
+    HELD_BYTES,
     IN_FLIGHT,
     LINK_BYTES,
     LOANS,
@@ -148,6 +149,7 @@
     metrics.set_gauge(QUEUE_DEPTH, source.count_queued)
     metrics.set_gauge(CONCURRENCY_LIMIT, gate.limiter.limit)
     metrics.set_gauge(IN_FLIGHT, gate.running)
+    metrics.set_gauge(HELD_BYTES, lambda: float(source.shared.links.budget.held_bytes))
     metrics.set_gauge(CONFIG_VERSION, source.read_config_version)
     metrics.set_gauge(CONFIG_AGE, source.read_config_age)
     metrics.set_gauge(READY, lambda: float(source.check_ready().ready))
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -34,6 +34,9 @@
 NO_DOCUMENT = Refusal(
     ResultCode.NOT_READY, "no configuration is in force yet", retry_after_ms=1_000
 )
+NO_MEMORY = Refusal(
+    ResultCode.MEMORY_FULL, "the daemon has no memory for the request", retry_after_ms=500
+)
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the request", RunState.UNKNOWN)
 STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
 
@@ -159,6 +162,8 @@
     # planning
 
     def _plan(self, now_ms: int, request: HttpRequest, request_id: str) -> Plan | Refusal:
+        if request.fault is ResultCode.MEMORY_FULL:
+            return NO_MEMORY
         if request.fault is not ResultCode.OK:
             return Refusal(request.fault, "the request can't be read as HTTP/1.1 within bounds")
         document = self.read_document()
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -26,7 +26,7 @@
 from wisteria_core import Clock, FailureDomain, Refusal, ResultCode, VmId, VmList
 from wisteria_limits import SharedRateConfig, SharedRateLimiter
 from wisteria_routing import CrashReport, LoadBalancerConfig, PoisonDetector, SuspicionCleared
-from wisteria_wire import CallerLimits, CallHead, Link, LinkPool, ServedCall
+from wisteria_wire import ByteBudget, CallerLimits, CallHead, Link, LinkPool, ServedCall
 
 from ..audit import AuditTrail
 from ..backend import BackendServer
@@ -44,6 +44,7 @@
     AUDIT_EVENTS,
     CONFIG_VERSION,
     CONTROL_REFUSED,
+    HELD_BYTES,
     IN_FLIGHT,
     LINK_FAULTS,
     READY,
@@ -80,6 +81,12 @@
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 _PORT_RETRY_S = 0.2
 """Interval at which a port that is in use is tried again: the process before may be ending."""
+_BYTES_PER_MB = 1_048_576
+_BASE_MB = 70
+"""Memory of a daemon that holds no long requests."""
+_COPIES = 3.4
+"""Memory for each byte of a request's body: as it was received, as it is encoded and as it is sent,
+with some fragmentation."""
 _STOP_POLL_S = 0.02
 """Interval at which a stop checks whether calls are in flight; short compared to the grace."""
 _NOT_READY_RETRY_MS = 200
@@ -146,7 +153,8 @@
                 slack=bounds.rate_slack * OVERAGE_FRACTION,
             ),
         )
-        self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock)
+        self.budget = ByteBudget(_find_budget(settings.bounds.memory_mb))
+        self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock, self.budget)
         self.fleet = FleetView(
             FailureDomain(settings.vm.failure_domain),
             random,
@@ -260,7 +268,9 @@
             answer_grace_ms=ANSWER_GRACE_MS,
             log_level=logging.INFO,
         )
-        self.callers = CallerListener(self.entry, self.call_tasks.spawn, None, self._read_limits)
+        self.callers = CallerListener(
+            self.entry, self.call_tasks.spawn, None, self._read_limits, self.budget
+        )
 
     # LinkHandler
 
@@ -540,9 +550,15 @@
     def _set_gauges(self) -> None:
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
         self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self.exchange.version))
+        self.metrics.set_gauge(HELD_BYTES, lambda: float(self.budget.held_bytes))
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
 
 
+def _find_budget(memory_mb: float) -> int:
+    """Return how many bytes of requests fit into the memory of the process."""
+    return round(max(0.0, memory_mb - _BASE_MB) * _BYTES_PER_MB / _COPIES)
+
+
 async def _wait_for_end(count_calls: Callable[[], int]) -> None:
     """Wait until no call is counted any more."""
     is_busy = True
--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -76,6 +76,7 @@
 """Concurrent calls of a backend server until the platform states its slots."""
 
 DEFAULT_MAX_CONNECTIONS = 300
+DEFAULT_MEMORY_MB = 300.0
 """Connections to the backend server until the configuration gives a limit."""
 
 DEFAULT_WATCH_MS = 25_000
--- a/libs/daemon/src/wisteriaproxy/mesh/settings.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/settings.py
@@ -11,6 +11,7 @@
 from ..settings_rules import ADDRESS, TIME, Rule, between, setting, split_address
 from .const import (
     DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MEMORY_MB,
     DEFAULT_RETRY_RATIO,
     DEFAULT_RETRY_SLACK,
     DEFAULT_SLOTS,
@@ -79,6 +80,11 @@
     grace_s: float = setting(
         "Maximum duration of a planned stop.", _SECONDS, DEFAULT_STOP_LIMIT_MS / _MS_PER_S
     )
+    memory_mb: float = setting(
+        "Memory in MB at which the process is ended; requests that don't fit are refused.",
+        Rule("1 or more", lambda value: value >= 1),
+        DEFAULT_MEMORY_MB,
+    )
     strict_revocation: bool = setting(
         "Whether calls that run are cancelled when their key is withdrawn; queued ones never run.",
         Rule("true or false", lambda value: isinstance(value, bool)),
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -88,6 +88,7 @@
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
 CONCURRENCY_LIMIT = Family("concurrency_limit_calls", "gauge", "Limit of the calls in flight.")
 IN_FLIGHT = Family("in_flight_calls", "gauge", "Calls at the backend server.")
+HELD_BYTES = Family("held_bytes", "gauge", "Bytes of requests that are held in memory.")
 CONFIG_VERSION = Family("config_version", "gauge", "Version of the document in force.")
 CONFIG_AGE = Family("config_age_seconds", "gauge", "Time since the version was last confirmed.")
 READY = Family("ready", "gauge", "1 when the daemon takes calls.")
@@ -113,6 +114,7 @@
     QUEUE_DEPTH,
     CONCURRENCY_LIMIT,
     IN_FLIGHT,
+    HELD_BYTES,
     CONFIG_VERSION,
     CONFIG_AGE,
     READY,
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -297,7 +297,9 @@
         cold_start=cold_start,
         at_most_once=at_most_once,
         entry=entry,
-        callers=CallerListener(entry, context.tasks.start_soon, settings.tls),
+        callers=CallerListener(
+            entry, context.tasks.start_soon, settings.tls, budget=shared.links.budget
+        ),
     )
 
 
--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -1,5 +1,6 @@
 """Cap'n Proto encoding of the heads of calls and answers."""
 
+import struct
 from importlib import resources
 from typing import Any
 
@@ -17,6 +18,7 @@
 _RUN_STATES = (RunState.RAN, RunState.NOT_RUN, RunState.UNKNOWN)
 _RUN_STATE_INDEXES = {state: index for index, state in enumerate(_RUN_STATES)}
 _NO_RETRY_AFTER = -1
+_WORD_BYTES = 8
 _MAX_INT32 = 2**31 - 1
 _MAX_UINT16 = 2**16 - 1
 
@@ -66,6 +68,18 @@
 
 
 def encode_call(head: CallHead) -> bytes:
+    return bytes(_build_call(head).to_bytes())
+
+
+def encode_long_call(head: CallHead) -> list[bytes]:
+    """Return the parts of an encoded call; joining them would copy its body once more."""
+    segments = [bytes(segment) for segment in _build_call(head).to_segments()]
+    words = [len(segments) - 1, *(len(segment) // _WORD_BYTES for segment in segments)]
+    table = struct.pack(f"<{len(words)}I", *words)
+    return [table + bytes(-len(table) % _WORD_BYTES), *segments]
+
+
+def _build_call(head: CallHead) -> Any:
     message = _schema.CallHead.new_message()
     message.requestId = head.request_id
     message.routeId = head.route_id
@@ -92,7 +106,7 @@
     message.represented = head.represented
     message.instance = head.instance
     message.rankSpan = head.rank_span
-    return bytes(message.to_bytes())
+    return message
 
 
 def decode_call(payload: bytes) -> CallHead | FrameFault:
--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -5,6 +5,8 @@
 FRAME_HEADER_BYTES = 14
 MAX_FRAME_BYTES = 68_000_000
 """Largest payload: a call with the largest body that a configuration may allow, 64 MiB."""
+RESERVED_FRAME_BYTES = 131_072
+"""Size of a call from which its payload needs room in the budget."""
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
 CREDIT_THRESHOLD_BYTES = 65_536
--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -12,6 +12,7 @@
 
 from wisteria_core import ResultCode
 
+from .budget import ByteBudget
 from .const import (
     DEFAULT_CALLER_IDLE_TIMEOUT_MS,
     DEFAULT_REQUEST_TIMEOUT_MS,
@@ -62,7 +63,13 @@
 
 @attrs.define(eq=False)
 class HttpExchange:
-    """The response to one request."""
+    """The response to one request.
+
+    Parameters
+    ----------
+    held_bytes : int
+        Bytes of the request's body that count towards the budget.
+    """
 
     connection: "HttpServerConnection"
     keep_alive: bool
@@ -70,6 +77,7 @@
     started: bool = False
     on_cancel: Callable[[], None] | None = None
     is_cancelled: bool = False
+    held_bytes: int = 0
     _chunked: bool = False
     _ended: bool = False
 
@@ -173,7 +181,9 @@
         handler: RequestHandler,
         connections: set["HttpServerConnection"],
         read_limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self._budget = budget or ByteBudget()
         self._loop: asyncio.AbstractEventLoop
         self._read_limits = read_limits
         self._limits = read_limits()
@@ -188,6 +198,7 @@
         self._writable: asyncio.Event | None = None
         self._closing = False
         self._overhead_bytes = 0
+        self._held_bytes = 0
         self._reset()
 
     # callbacks of asyncio.Protocol
@@ -203,18 +214,23 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress and drop the pipelined ones."""
         self._connections.discard(self)
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
+        for request in self._pipelined:
+            self._release(request.exchange)
         self._pipelined.clear()
         if self._timer is not None:
             self._timer.cancel()
         if self._current is not None:
             self._current.cancel()
+            self._release(self._current)
         self.resume_writing()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pause reading while too many requests are pipelined."""
         if self._closing:
             return
-        body, progress = self._body, (len(self._body), self._headers_complete)
+        headers, progress = self._headers, (self._received_bytes, self._headers_complete)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -224,8 +240,8 @@
                 self._fault if self._fault is not ResultCode.OK else ResultCode.BAD_REQUEST
             )
         else:
-            is_same_request = self._body is body
-            is_unchanged = progress == (len(self._body), self._headers_complete)
+            is_same_request = self._headers is headers
+            is_unchanged = progress == (self._received_bytes, self._headers_complete)
             has_stalled = is_same_request and is_unchanged
             self._bound_overhead(len(data) if has_stalled else 0)
         if len(self._pipelined) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
@@ -262,18 +278,23 @@
     def on_headers_complete(self) -> None:
         """Send 100 Continue to a caller that expects it before it sends the body."""
         self._headers_complete = True
+        self._reserve(self._read_declared_bytes())
         if any(name == "expect" for name, _ in self._headers) and self._current is None:
             self.write(_CONTINUE_RESPONSE)
 
     def on_body(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > self._limits.body_bytes:
+        """Collect a part of the body; skip it if there is no memory for the body."""
+        self._received_bytes += len(data)
+        if self._received_bytes > self._limits.body_bytes:
             self._fault = ResultCode.BODY_TOO_LARGE
             raise ValueError("request body exceeds the size limit")
+        self._reserve(self._received_bytes)
+        if self._fault is ResultCode.OK:
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Serve the request, or queue it until the one before it has been answered."""
-        request = self._make_request(ResultCode.OK)
+        request = self._make_request(self._fault)
         self._expires_at = None
         if self._current is not None:
             self._pipelined.append(request)
@@ -294,6 +315,7 @@
     def finish_exchange(self, exchange: HttpExchange) -> None:
         """Serve the next pipelined request, wait for one, or close the connection."""
         self._current = None
+        self._release(exchange)
         if not exchange.keep_alive:
             self.close()
             return
@@ -346,8 +368,31 @@
         self._headers_complete = False
         self._header_bytes = 0
         self._body = bytearray()
+        self._received_bytes = 0
         self._fault = ResultCode.OK
 
+    def _read_declared_bytes(self) -> int:
+        """Return the announced length of the body; 0 if it isn't announced."""
+        text = next((value for name, value in self._headers if name == "content-length"), "")
+        return min(int(text), self._limits.body_bytes) if text.isdigit() and len(text) < 20 else 0
+
+    def _reserve(self, count: int) -> None:
+        """Reserve memory for the body up to `count` bytes, or drop what there is of it."""
+        missing = count - self._held_bytes
+        if missing <= 0 or self._fault is not ResultCode.OK:
+            return
+        if self._budget.reserve(missing):
+            self._held_bytes += missing
+            return
+        self._fault = ResultCode.MEMORY_FULL
+        self._body = bytearray()
+        self._budget.release(self._held_bytes)
+        self._held_bytes = 0
+
+    def _release(self, exchange: HttpExchange) -> None:
+        self._budget.release(exchange.held_bytes)
+        exchange.held_bytes = 0
+
     def _count_header_bytes(self, count: int) -> None:
         self._header_bytes += count
         if self._header_bytes > self._limits.header_bytes:
@@ -366,15 +411,21 @@
 
     def _make_request(self, fault: ResultCode) -> HttpRequest:
         method = (
-            "GET" if fault is not ResultCode.OK else self._parser.get_method().decode("latin-1")
+            "GET"
+            if fault not in (ResultCode.OK, ResultCode.MEMORY_FULL)
+            else self._parser.get_method().decode("latin-1")
         )
-        keep_alive = fault is ResultCode.OK and self._parser.should_keep_alive()
-        exchange = HttpExchange(self, keep_alive, method == "HEAD")
+        is_complete = fault in (ResultCode.OK, ResultCode.MEMORY_FULL)
+        keep_alive = is_complete and self._parser.should_keep_alive()
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        exchange = HttpExchange(self, keep_alive, method == "HEAD", held_bytes=held_bytes)
+        # the buffer isn't kept beside its copy
+        body, self._body = bytes(self._body), bytearray()
         return HttpRequest(
             method=method,
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=bytes(self._body),
+            body=body,
             keep_alive=keep_alive,
             exchange=exchange,
             fault=fault,
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -8,9 +8,10 @@
 
 import attrs
 
-from wisteria_core import Refusal, ResultCode, RunState, VmId
+from wisteria_core import Refusal, ResultCode, RunState, VmId, http_status
 
 from .body import BodyStream
+from .budget import ByteBudget
 from .codec import (
     decode_answer,
     decode_call,
@@ -18,9 +19,15 @@
     encode_answer,
     encode_call,
     encode_hello,
+    encode_long_call,
 )
-from .const import PROTOCOL_VERSION, WINDOW_BYTES
-from .frames import FrameReader, encode_frame
+from .const import (
+    FRAME_HEADER_BYTES,
+    PROTOCOL_VERSION,
+    RESERVED_FRAME_BYTES,
+    WINDOW_BYTES,
+)
+from .frames import FrameReader, encode_frame, encode_frame_header
 from .liveness import set_tcp_timeouts
 from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
 from .tls import read_peer_names
@@ -28,6 +35,13 @@
 _LOGGER = logging.getLogger(__name__)
 _BYTE_COUNT = struct.Struct("!Q")
 
+_NO_MEMORY = AnswerHead(
+    http_status(ResultCode.MEMORY_FULL),
+    code=ResultCode.MEMORY_FULL,
+    run_state=RunState.NOT_RUN,
+    reason="the daemon has no memory for the request",
+    complete=True,
+)
 LINK_LOST = Refusal(ResultCode.LINK_LOST, "the link to the daemon was lost", RunState.UNKNOWN)
 
 
@@ -76,7 +90,13 @@
 
 @attrs.define(eq=False)
 class ServedCall:
-    """A call received from the peer and answered here."""
+    """A call received from the peer and answered here.
+
+    Parameters
+    ----------
+    reserved_bytes : int
+        Bytes of its head and body that count towards the budget.
+    """
 
     link: "Link"
     call_id: int
@@ -85,6 +105,7 @@
     _credit: int = WINDOW_BYTES
     _credit_added: asyncio.Event | None = None
     _sent_bytes: int = 0
+    reserved_bytes: int = 0
 
     def send_answer(self, head: AnswerHead) -> None:
         """Send the head; a complete head ends the call."""
@@ -145,9 +166,17 @@
         Identity that this daemon announces.
     expected_vm : VmId or None
         VM that was dialed; None on the accepting side.
+    budget : ByteBudget, optional
+        Memory for long calls of the peer.
     """
 
-    def __init__(self, handler: LinkHandler, hello: Hello, expected_vm: VmId | None) -> None:
+    def __init__(
+        self,
+        handler: LinkHandler,
+        hello: Hello,
+        expected_vm: VmId | None,
+        budget: ByteBudget | None = None,
+    ) -> None:
         self.peer: Hello | None = None
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -156,7 +185,8 @@
         self._handler = handler
         self._hello = hello
         self._expected_vm = expected_vm
-        self._reader = FrameReader()
+        self._budget = budget or ByteBudget()
+        self._reader = FrameReader(budget=self._budget)
         self._transport: asyncio.Transport | None = None
         self._pending: dict[int, PendingCall] = {}
         self._served: dict[int, ServedCall] = {}
@@ -195,7 +225,9 @@
         for call in pending.values():
             call.settle(LINK_LOST)
             call.body.fail(LINK_LOST)
+        self._reader.release()
         for one in served.values():
+            self._release(one)
             one.cancel()
         self._handler.handle_link_closed(self, str(exc) if exc else self._close_reason)
 
@@ -219,6 +251,14 @@
         self.sent_bytes += len(data)
         self._transport.write(data)
 
+    def _send_long_call(self, call_id: int, parts: list[bytes]) -> None:
+        assert self._transport is not None
+        length = sum(map(len, parts))
+        self.sent_bytes += FRAME_HEADER_BYTES + length
+        self._transport.write(encode_frame_header(FrameKind.CALL, call_id, length))
+        for part in parts:
+            self._transport.write(part)
+
     def send_call(self, head: CallHead) -> PendingCall:
         call_id = self._next_call_id
         self._next_call_id += 1
@@ -230,7 +270,10 @@
             )
             return call
         self._pending[call_id] = call
-        self.send_frame(FrameKind.CALL, call_id, encode_call(head))
+        if len(head.body) < RESERVED_FRAME_BYTES:
+            self.send_frame(FrameKind.CALL, call_id, encode_call(head))
+        else:
+            self._send_long_call(call_id, encode_long_call(head))
         return call
 
     def send_control(self, kind: int, payload: bytes) -> None:
@@ -244,7 +287,9 @@
 
     def forget_served(self, call_id: int) -> None:
         """Drop a served call after its answer."""
-        self._served.pop(call_id, None)
+        served = self._served.pop(call_id, None)
+        if served is not None:
+            self._release(served)
 
     def _send_credit(self, call_id: int, count: int) -> None:
         self.send_frame(FrameKind.CREDIT, call_id, _BYTE_COUNT.pack(count))
@@ -297,12 +342,14 @@
         return certificate is not None and hello.vm_id in read_peer_names(certificate)
 
     def _handle_call(self, frame: Frame) -> FrameFault | None:
+        if frame.is_skipped:
+            self.send_frame(FrameKind.ANSWER, frame.call_id, encode_answer(_NO_MEMORY))
+            return None
         head = decode_call(frame.payload)
-        if isinstance(head, FrameFault):
-            return head
-        if frame.call_id in self._served:
-            return FrameFault.GARBLED
-        served = ServedCall(self, frame.call_id)
+        if isinstance(head, FrameFault) or frame.call_id in self._served:
+            self._budget.release(frame.reserved_bytes)
+            return head if isinstance(head, FrameFault) else FrameFault.GARBLED
+        served = ServedCall(self, frame.call_id, reserved_bytes=frame.reserved_bytes)
         self._served[frame.call_id] = served
         self._handler.handle_call(served, head)
         return None
@@ -364,4 +411,9 @@
     def _handle_cancel(self, frame: Frame) -> None:
         served = self._served.pop(frame.call_id, None)
         if served is not None:
+            self._release(served)
             served.cancel()
+
+    def _release(self, served: ServedCall) -> None:
+        self._budget.release(served.reserved_bytes)
+        served.reserved_bytes = 0
--- a/libs/wire/src/wisteria_wire/models.py
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -33,11 +33,21 @@
 
 @attrs.frozen
 class Frame:
-    """One frame: its kind, the call that it belongs to (0 for none) and its payload."""
+    """One frame: its kind, the call that it belongs to (0 for none) and its payload.
+
+    Parameters
+    ----------
+    reserved_bytes : int
+        Bytes that count towards the budget until the frame is released.
+    is_skipped : bool
+        Whether the payload is missing, as there was no memory for it.
+    """
 
     kind: FrameKind
     call_id: int
     payload: bytes
+    reserved_bytes: int = 0
+    is_skipped: bool = False
 
 
 @attrs.frozen
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -9,6 +9,7 @@
 
 from wisteria_core import Clock, Refusal, ResultCode, RunState, Vm, VmId
 
+from .budget import ByteBudget
 from .const import (
     DEFAULT_DIAL_TIMEOUT_MS,
     DEFAULT_HELLO_TIMEOUT_MS,
@@ -50,6 +51,8 @@
         plain TCP and a peer is identified by its IP address alone, which must be its VM id.
     clock : Clock
         Source of milliseconds.
+    budget : ByteBudget, optional
+        Memory for long calls of all peers.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         incarnation: int,
         material: PeerMaterial | None,
         clock: Clock,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self.budget = budget or ByteBudget()
         self._handler = handler
         self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation)
         # without certificates the peer identifies this VM by the source address
@@ -138,7 +143,7 @@
             self._dialing.pop(vm.vm_id).set()
 
     def _accept_link(self) -> Link:
-        link = Link(self._handler, self._hello, None)
+        link = Link(self._handler, self._hello, None, self.budget)
         self._accepted.add(link)
         asyncio.get_running_loop().call_later(
             DEFAULT_HELLO_TIMEOUT_MS / _MS_PER_S, self._close_without_hello, link
@@ -151,7 +156,7 @@
 
     async def _dial(self, vm: Vm) -> Link | Refusal:
         loop = asyncio.get_running_loop()
-        link = Link(self._handler, self._hello, vm.vm_id)
+        link = Link(self._handler, self._hello, vm.vm_id, self.budget)
         try:
             with anyio.fail_after(DEFAULT_DIAL_TIMEOUT_MS / _MS_PER_S):
                 await loop.create_connection(
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -6,7 +6,7 @@
 
 from wisteria_admission import AdmissionLevel
 from wisteria_core import Priority, ResultCode, RunState, VmId
-from wisteria_wire import AnswerHead, CallHead, Hello
+from wisteria_wire import AnswerHead, ByteBudget, CallHead, Hello
 from wisteria_wire.codec import (
     decode_answer,
     decode_call,
@@ -14,8 +14,9 @@
     encode_answer,
     encode_call,
     encode_hello,
+    encode_long_call,
 )
-from wisteria_wire.const import MAX_FRAME_BYTES, PROTOCOL_VERSION
+from wisteria_wire.const import MAX_FRAME_BYTES, PROTOCOL_VERSION, RESERVED_FRAME_BYTES
 from wisteria_wire.frames import FrameReader, encode_frame
 from wisteria_wire.models import Frame, FrameFault, FrameKind
 
@@ -142,3 +143,53 @@
     head = CallHead(**{name: f"{name} of the call" for name in names})  # type: ignore[arg-type]
     expected = attrs.evolve(head, allowance=1, remaining_ms=2, instance="i-1")
     assert head.for_attempt(1, 2, "i-1") == expected
+
+
+@DETERMINISTIC
+@given(calls, st.integers(0, 300_000))
+def test_a_long_call_is_encoded_alike(head: CallHead, size: int) -> None:
+    """Guards against parts that a peer can't join to the message that it decodes."""
+    head = attrs.evolve(head, body=b"b" * size)
+    assert b"".join(encode_long_call(head)) == encode_call(head)
+
+
+@DETERMINISTIC
+@given(st.lists(st.integers(1, 200_000), min_size=1, max_size=20))
+def test_a_long_call_without_memory_is_skipped(sizes: list[int]) -> None:
+    """Guards against peers whose calls together take more memory than the daemon has."""
+    budget = ByteBudget(2 * RESERVED_FRAME_BYTES)
+    length = RESERVED_FRAME_BYTES
+    stream = b"".join(
+        encode_frame(kind, number, bytes([number]) * size)
+        for number, (kind, size) in enumerate(
+            [
+                (FrameKind.CALL, length),
+                (FrameKind.CALL, length),
+                (FrameKind.CALL, length),
+                (FrameKind.BODY, length),
+                (FrameKind.CALL, 10),
+                (FrameKind.CALL, length + 1),
+            ]
+        )
+    )
+    reader = FrameReader(budget=budget)
+    found: list[Frame] = []
+    parts = iter(sizes)
+    while stream:
+        count = next(parts, len(stream))
+        found += reader.feed(stream[:count])
+        stream = stream[count:]
+    assert [frame.call_id for frame in found if frame.is_skipped] == [2, 5]
+    assert [len(frame.payload) for frame in found] == [length, length, 0, length, 10, 0]
+    assert all(set(frame.payload) <= {frame.call_id} for frame in found)
+    assert budget.held_bytes == sum(frame.reserved_bytes for frame in found) == 2 * length
+
+
+def test_memory_of_an_incomplete_frame_is_released() -> None:
+    """Guards against a link that is lost within a call and keeps its memory reserved."""
+    budget = ByteBudget(RESERVED_FRAME_BYTES)
+    reader = FrameReader(budget=budget)
+    assert reader.feed(encode_frame(FrameKind.CALL, 1, bytes(RESERVED_FRAME_BYTES))[:-1]) == []
+    assert budget.held_bytes == RESERVED_FRAME_BYTES
+    reader.release()
+    assert budget.held_bytes == 0
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -7,7 +7,7 @@
 import pytest
 
 from wisteria_core import ResultCode
-from wisteria_wire import HttpRequest, HttpServerConnection
+from wisteria_wire import ByteBudget, HttpRequest, HttpServerConnection
 from wisteria_wire.const import MAX_HEADER_BYTES, MAX_REQUEST_BODY_BYTES
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
@@ -22,11 +22,17 @@
     request.exchange.answer(200, ("x-method", request.method), request.target.encode())
 
 
-async def exchange(data: bytes, handler: Callable[[HttpRequest], None] = answer_by_target) -> bytes:
+async def exchange(
+    data: bytes,
+    handler: Callable[[HttpRequest], None] = answer_by_target,
+    budget: ByteBudget | None = None,
+) -> bytes:
     """Return what the server sends for `data` until it closes or 0.3 s have passed."""
     loop = asyncio.get_running_loop()
     connections: set[HttpServerConnection] = set()
-    server = await loop.create_server(lambda: HttpServerConnection(handler, connections), HOST, 0)
+    server = await loop.create_server(
+        lambda: HttpServerConnection(handler, connections, budget=budget), HOST, 0
+    )
     reader, writer = await asyncio.open_connection(HOST, server.sockets[0].getsockname()[1])
     writer.write(data)
     found = b""
@@ -148,3 +154,47 @@
         assert (await exchange(head + chunks)).endswith(b"/a")
 
     run_loop(body)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_request_without_memory_is_read_and_refused(run_loop: RunLoop, is_chunked: bool) -> None:
+    """Guards against bodies within the limit that together exceed the memory of the daemon."""
+    size = 200_000
+    head = b"POST /%s HTTP/1.1\r\nhost: x\r\n"
+    body = bytes(size)
+    if is_chunked:
+        framed = b"transfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (size, body)
+    else:
+        framed = b"content-length: %d\r\n\r\n%s" % (size, body)
+    budget = ByteBudget(size - 1)
+
+    async def main() -> None:
+        first = head % b"long" + framed
+        second = head % b"short" + b"content-length: 2\r\n\r\nab"
+        found = await exchange(first + second, budget=budget)
+        code = int(ResultCode.MEMORY_FULL)
+        assert found.startswith(b"HTTP/1.1 400 ")
+        assert b"\r\n\r\n%d" % code in found
+        assert found.endswith(b"x-method: POST\r\ncontent-length: 6\r\n\r\n/short")
+        assert budget.held_bytes == 0
+
+    run_loop(main)
+
+
+def test_memory_of_lost_requests_is_released(run_loop: RunLoop) -> None:
+    """Guards against callers that disconnect and keep memory reserved for good."""
+    budget = ByteBudget(1_000_000)
+    held: list[int] = []
+
+    def keep(_request: HttpRequest) -> None:
+        held.append(budget.held_bytes)
+
+    async def main() -> None:
+        post = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n"
+        # one that is served, one that waits behind it, and a part of a third
+        await exchange(2 * (post + bytes(1_000)) + post + bytes(7), keep, budget)
+        await anyio.sleep(0.05)
+        assert held == [1_000]
+        assert budget.held_bytes == 0
+
+    run_loop(main)
