Send no further calls to a process that its VM no longer runs

What callers saw: refusals while the list is outdated.

Cause: nothing was learned from a 421. The entry daemon went on choosing the process until its list changed.

The fix: to the entry daemon, a process that was replaced is one that has left; the answer says so in the field that leaving servers use. It is tied to the process that the entry daemon named, and ends when the list names another one on the VM.

--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -404,14 +404,17 @@
         elif not isinstance(http_call, Refusal):
             self.gate.cold_start.note_answer(self.clock.now_ms())
         if isinstance(http_call, Refusal):
-            if http_call.code is ResultCode.NO_BACKEND_SERVER:
+            is_replaced = http_call.code is ResultCode.NO_BACKEND_SERVER
+            if is_replaced:
                 self._note_other_process(served.head)
             served.outcome = Outcome.ERROR
             if http_call.run_state is not RunState.NOT_RUN:
                 self.breaker.note_failure(self.clock.now_ms())
                 await self.crashes.check_for_crash()
-            head = refusal_to_head(http_call, call.count_spent())
-            served.responder.send_answer(self._add_load(head, served.head, call))
+            head = self._add_load(refusal_to_head(http_call, call.count_spent()), served.head, call)
+            # to the entry daemon, a process that was replaced is one that has left
+            is_leaving = head.server_leaving or is_replaced
+            served.responder.send_answer(attrs.evolve(head, server_leaving=is_leaving))
             return
         try:
             await self._relay_answer(served, call, http_call)
--- a/tests/platform/test_misdirected_calls.py
+++ b/tests/platform/test_misdirected_calls.py
@@ -1,5 +1,8 @@
 """Calls for a process or a service that the VM no longer runs."""
 
+import re
+
+import anyio
 import attrs
 import pytest
 
@@ -8,6 +11,7 @@
 from wisteria_wire import AnswerHead, CallHead
 from wisteriaproxy.forward import PROCESS_REPLACED
 
+from .standins import Upstream
 from .support import Mesh, Node, make_config, wait_until
 
 pytestmark = pytest.mark.anyio
@@ -87,3 +91,39 @@
     await wait_until(lambda: entry.daemon.fleet.find_vm(node.daemon.vm_id) is None)
     assert await forwarder.send_to_server(listed, make_head(listed.instance)) is PROCESS_REPLACED
     assert node.upstream.ran == []
+
+
+async def test_a_process_that_was_replaced_gets_no_further_calls(mesh: Mesh) -> None:
+    """Guards against calls that are rejected one after the other while the list is outdated."""
+    mesh.publish(make_config())
+    entry = await mesh.add_node(registers=False)
+    _, node = await mesh.add_node(), await mesh.add_node()
+    await wait_until(lambda: is_listed(entry, "i-1") and is_listed(entry, "i-2"))
+    await wait_until(entry.daemon.is_ready)
+    await node.upstream.http.async_unload()
+    node.upstream = Upstream(node.host, "i-other")
+    await node.upstream.http.async_setup()
+    with anyio.fail_after(20):
+        while count_rejected(node) == 0:
+            await mesh.call(entry, "/parts/1")
+    for _ in range(400):
+        assert (await mesh.call(entry, "/parts/1")).status == 200
+    assert count_rejected(node) == 1
+    mesh.store.remove("servers/i-2")
+    mesh.register(node, born=1_700_000_000_001)
+    await wait_until(lambda: is_listed(entry, "i-other"))
+    with anyio.fail_after(10):
+        while not node.upstream.ran:
+            assert (await mesh.call(entry, "/parts/1")).status == 200
+
+
+def is_listed(node: Node, instance: str) -> bool:
+    return any(vm.instance == instance for vm in node.daemon.vm_list or ())
+
+
+def count_rejected(node: Node) -> int:
+    """Return how many calls for another process the backend server of a node has rejected."""
+    found = re.search(
+        rb'misdirected_calls_total{place="server"} (\d+)', node.daemon.metrics.render()
+    )
+    return int(found[1]) if found is not None else 0
