Refuse late calls at a stop that would be cut off at its end

What callers saw: requests on routes without a key, sent to a stopping daemon more than three seconds after SIGTERM, were sent on to a backend server and then answered 502 by the daemon itself while that server was at work. Child calls of the backend server next to the daemon had the same end.

Cause: while its backend server runs a call, a stopping daemon takes requests without a key as that server's child calls, as nothing in a request tells them from a client's. It took them until nine tenths of the grace period, where all calls in flight are cut off.

Evidence: tests/processes/test_stops.py, daemons as processes, a call of 5.7 s at the stopping daemon.

Why this works: after 0.45 of the grace period a stopping daemon takes a call only if its deadline comes before the cut, so no call taken from then on is cut off by the stop. Others are refused as not run. The price: a child call with a later deadline is refused as well, and its parent call fails, unless it began early in the stop.

--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -59,6 +59,22 @@
         """Return the outcome of the call."""
 
 
+@attrs.frozen
+class StopTimes:
+    """Times of a stop that bound the calls which are still taken, on the daemon's clock.
+
+    Parameters
+    ----------
+    late_from_ms : int
+        Time from which a call is only taken if its deadline lies before `cut_at_ms`.
+    cut_at_ms : int
+        Time at which the calls in flight are cut off.
+    """
+
+    late_from_ms: int
+    cut_at_ms: int
+
+
 @attrs.define(eq=False)
 class EntryHandler:
     """Handles requests of callers and child calls of the backend server.
@@ -76,6 +92,8 @@
         which knows whether the call ran.
     log_level : int
         Level of the log line that is written at the end of each request.
+    stop_times : StopTimes, optional
+        Bounds for child calls while the daemon is stopping.
     """
 
     dialect: CallerDialect
@@ -88,6 +106,7 @@
     read_document: Callable[[], Document | None]
     check_ready: Callable[[], Refusal | None]
     is_stopping: bool = False
+    stop_times: StopTimes | None = None
     answer_grace_ms: int = 0
     log_level: int = logging.DEBUG
     splitter: TrafficSplitter = attrs.field(factory=TrafficSplitter)
@@ -187,6 +206,8 @@
         deadline_at_ms = self._read_deadline(now_ms, request, route, caller)
         if isinstance(deadline_at_ms, Refusal):
             return deadline_at_ms
+        if self._would_be_cut(now_ms, deadline_at_ms):
+            return STOPPING
         key = self.dialect.read_idempotency_key(request, route)
         if isinstance(key, Refusal):
             return key
@@ -198,6 +219,13 @@
             request, request_id, route, service, caller, deadline_at_ms, key, document, priority
         )
 
+    def _would_be_cut(self, now_ms: int, deadline_at_ms: int) -> bool:
+        """Return whether a call comes late in a stop and may not be answered before its end."""
+        times = self.stop_times
+        if times is None or now_ms < times.late_from_ms:
+            return False
+        return deadline_at_ms + self.answer_grace_ms > times.cut_at_ms
+
     def _read_deadline(
         self, now_ms: int, request: HttpRequest, route: Route, caller: Caller
     ) -> int | Refusal:
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -33,7 +33,7 @@
 from ..cold_start import ColdStartMonitor
 from ..control.plane import ControlPlane
 from ..crashes import CrashMonitor
-from ..entry import EntryHandler
+from ..entry import EntryHandler, StopTimes
 from ..fleet import FleetView
 from ..flush import wait_flushed
 from ..forward import Forwarder
@@ -74,6 +74,9 @@
 _STOP_FRACTION = 0.9
 """Fraction of the grace period after which calls in flight are cancelled, so that the daemon exits
 before the platform ends it."""
+_LATE_FRACTION = 0.45
+"""Fraction of the grace period after which only calls are taken that end before the stop does: the
+platform excuses a call that is cut off if it came in the first half."""
 _FLUSH_FRACTION = 0.97
 """Fraction of the grace period after which the daemon exits although callers have not read all."""
 LOAD_BALANCER_CONFIG = LoadBalancerConfig(local_load=0.5, explore_share=0.01)
@@ -372,6 +375,11 @@
         """Refuse new calls, wait for calls in flight and their answers, then close everything."""
         grace_s = self.settings.bounds.grace_s
         flush_until_s = anyio.current_time() + grace_s * _FLUSH_FRACTION
+        now_ms = self.clock.now_ms()
+        self.entry.stop_times = StopTimes(
+            late_from_ms=now_ms + round(grace_s * _LATE_FRACTION * _MS_PER_S),
+            cut_at_ms=now_ms + round(grace_s * _STOP_FRACTION * _MS_PER_S),
+        )
         self.entry.is_stopping = True
         self.serving.begin_stop()
         self.exchange.announce_leaving()
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
-RESERVATION = 8007
+CLAIM = 8007
 FIRST_SUBNET, LAST_SUBNET = 20, 250
 START_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
@@ -143,28 +143,27 @@
     subnet: int = 0
     store: Store = attrs.field(init=False)
     version: int = 0
-    _reservation: socket.socket | None = None
+    _claim: socket.socket | None = None
     _folder: tempfile.TemporaryDirectory[str] = attrs.field(factory=tempfile.TemporaryDirectory)
     _attempts: Any = attrs.field(factory=lambda: itertools.count(1))
     _names: Any = attrs.field(factory=lambda: itertools.count(1))
 
     async def async_setup(self) -> None:
-        """Start the store in a subnet that no other fleet has reserved."""
-        count = LAST_SUBNET - FIRST_SUBNET
-        for offset in range(count):
-            self.subnet = FIRST_SUBNET + (os.getpid() + offset) % count
+        """Start the store in the first subnet that no other fleet has claimed."""
+        for subnet in range(FIRST_SUBNET, LAST_SUBNET):
+            self.subnet = subnet
             self.store = Store(self.host(1))
             self.store.page_size = 500
-            # the store's port is free while a test has stopped the store
-            reservation = socket.socket()
             try:
-                reservation.bind((self.host(1), RESERVATION))
-                await self.store.http.async_setup()
+                # the store's own port is free while a test has stopped the store
+                self._claim = socket.create_server((self.host(1), CLAIM))
             except OSError:
-                reservation.close()
                 continue
-            self._reservation = reservation
-            return
+            try:
+                await self.store.http.async_setup()
+                return
+            except OSError:
+                self._claim.close()
         raise AssertionError("no free loopback subnet")
 
     async def async_unload(self) -> None:
@@ -176,8 +175,8 @@
                 machine._keeper.cancel()
             await machine.upstream.http.async_unload()
         await self.store.http.async_unload()
-        if self._reservation is not None:
-            self._reservation.close()
+        if self._claim is not None:
+            self._claim.close()
         self._folder.cleanup()
 
     def host(self, last: int) -> str:
--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -18,6 +18,9 @@
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
 """Time from the last byte of a request within which it may be cut off if it hasn't been sent on."""
+LATE_S = GRACE_S / 2
+"""Time after SIGTERM from which a request that is sent on must be answered."""
+SIGNATURE = "wisteriaproxy-response-signature"
 
 
 @attrs.frozen
@@ -136,6 +139,63 @@
     assert lost == []
 
 
+@pytest.mark.parametrize("timeout_ms", [800, 2_000])
+async def test_no_call_that_a_stopping_daemon_takes_late_is_cut_off(
+    fleet: Fleet, timeout_ms: int
+) -> None:
+    """Guards against late calls on routes without a key that are sent on and end with the stop."""
+    fleet.publish(routes=list_routes())
+    stopped, other = await fleet.add([("order", "a"), ("yield", "b")])
+    begun: set[str] = set()
+
+    async def work_long(request: Request) -> Reply | None:
+        await asyncio.sleep(GRACE_S - 0.3)
+        return None
+
+    async def work_short(request: Request) -> Reply | None:
+        begun.add(request.headers["wisteriaproxy-attempt-id"])
+        await asyncio.sleep(0.4)
+        return None
+
+    stopped.upstream.answer, other.upstream.answer = work_long, work_short
+    order = asyncio.create_task(fleet.call(other, "/orders/1", "POST", 6_000, b"{}"))
+    await asyncio.sleep(0.2)
+    stop = asyncio.create_task(stopped.stop(signal.SIGTERM))
+    started_s = time.monotonic()
+    sent: list[Sent] = []
+    callers = (
+        call_parts(fleet, stopped, number, sent, started_s + GRACE_S, timeout_ms)
+        for number in range(4)
+    )
+    await asyncio.gather(*callers)
+    await asyncio.gather(order, stop)
+    late = [one for one in sent if one.sent_s - started_s > LATE_S]
+    lost = [one for one in late if one.attempt in begun and SIGNATURE not in one.reply.headers]
+    assert any(one.reply.status == 200 for one in sent)
+    assert late
+    assert [(round(one.sent_s - started_s, 2), one.reply.status) for one in lost] == []
+
+
+async def call_parts(
+    fleet: Fleet, machine: Machine, number: int, sent: list[Sent], until_s: float, timeout_ms: int
+) -> None:
+    """Send requests without a key until the daemon is gone."""
+    await asyncio.sleep(number * 0.15)
+    client = KeptClient(fleet, machine)
+    while time.monotonic() < until_s:
+        attempt = fleet.make_attempt()
+        at_s = time.monotonic()
+        try:
+            reply = await client.call(
+                "/parts/1", timeout_ms=timeout_ms, attempt=attempt, authorization=""
+            )
+        except OSError:
+            return
+        sent.append(Sent(attempt, machine.name, "/parts/1", at_s, time.monotonic(), reply))
+        await asyncio.sleep(0.15)
+    client.close()
+
+
 async def test_a_stop_waits_until_a_slow_client_has_its_answer(fleet: Fleet) -> None:
     """Guards against the end of an answer that is lost with the process that still buffers it."""
     fleet.publish(routes=list_routes())
