Send queued calls that a change of the slots starts

What callers saw: a call that waited in the queue when its backend server's slots were raised was not sent, and refused with 503 at its deadline. It held a slot until then.

Cause: the gate returns the calls that a change of the slots starts, and the daemon dropped that result, so the gate counted them as running while they went on waiting.

The other functions of the gate that return actions were checked: each caller applies them.

Why this works: the serving handler changes the slots and passes on the gate's actions, as with every other function of the gate that starts or refuses calls.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -325,7 +325,7 @@
         if own is not None:
             self.cold_start.apply_vm(own)
         if own is not None and own.slots and own.slots != self.serving.gate.slots:
-            self.serving.gate.set_slots(self.clock.now_ms(), own.slots)
+            self.serving.set_slots(own.slots)
         if not before:
             _LOGGER.info("vm_list_read", extra={"vms": len(after)})
             return
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -230,6 +230,10 @@
             # servers of an evacuated domain may have become cold
             self.gate.cold_start.note_restart()
 
+    def set_slots(self, slots: int) -> None:
+        """Change the number of slots of the backend server and start the calls that now fit."""
+        self._apply_actions(self.gate.set_slots(self.clock.now_ms(), slots))
+
     def start_queued(self) -> None:
         """Start queued calls that need not wait any more."""
         self._apply_actions(self.gate.tick(self.clock.now_ms()))
