Read on from a connection whose answer has arrived in full

What callers saw: after a download that its caller had left or read slowly, other requests to the same backend server got no answer until their deadline, then 504, although the server had answered them.

Cause: reading is paused while more than 256 KB of an answer wait for their reader. When the last bytes came in the same read, the connection went back to the pool paused. Only the reader of that answer would have resumed it: never, if its caller had left, and too late for the next request if it was slow.

Evidence: tests/wire/test_http_client.py, the new test failed before in both forms (nothing within 2 s). The other place that pauses reading, the callers' connections, resumes when no pipelined request is left.

Why this works: with the end of an answer the connection reads on, and what is then taken from the old answer no longer acts on it.

--- a/libs/wire/src/wisteria_wire/http_client.py
+++ b/libs/wire/src/wisteria_wire/http_client.py
@@ -59,6 +59,10 @@
     body: BodyStream
 
 
+def _ignore_consumed(_count: int) -> None:
+    return None
+
+
 def _make_refusal(code: ResultCode, reason: str, run_state: RunState) -> Refusal:
     return Refusal(code, reason, run_state)
 
@@ -243,6 +247,10 @@
         self._is_complete = True
         body.finish()
         self._pending = None
+        # the connection is the next request's from now on, whoever still reads this body
+        body.on_consumed = _ignore_consumed
+        if self._buffered_bytes > WINDOW_BYTES and self._transport is not None:
+            self._transport.resume_reading()
         if not self._parser.should_keep_alive():
             self.close()
         self._pool.release(self)
--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -77,6 +77,37 @@
     run_loop(body)
 
 
+# guards against requests that hang until their deadline behind an answer that nobody reads
+@pytest.mark.parametrize("is_cancelled", [True, False])
+def test_a_request_behind_an_unread_answer_on_its_connection_is_answered(
+    run_loop: RunLoop, is_cancelled: bool
+) -> None:
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            size = WINDOW_BYTES + 50_000
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + bytes(size))
+
+    async def body() -> None:
+        server, pool = await serve(answer)
+        unread = await pool.send(REQUEST)
+        assert isinstance(unread, HttpCall)
+        with anyio.fail_after(2):
+            while not unread.answer.body.is_ended:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        if is_cancelled:
+            unread.cancel()
+        with anyio.fail_after(2):
+            call = await pool.send(REQUEST)
+            assert isinstance(call, HttpCall)
+            assert call.connection is unread.connection
+            assert await collect_body(call.answer.body, 1_000_000) is not None
+        await pool.async_unload()
+        server.close()
+
+    run_loop(body)
+
+
 @pytest.mark.parametrize(("keep_alive", "opened"), [(b"keep-alive: timeout=10\r\n", 2), (b"", 3)])
 def test_pauses_between_requests_open_few_connections(
     run_loop: RunLoop, keep_alive: bytes, opened: int
