Empty the queue of a backend server whose entry is removed

What callers saw: calls that waited in the queue of the daemon beside a leaving backend server reached it long after its entry had been removed, and were lost when it exited.

Cause: that daemon refused new and queued calls only if the server had announced that it leaves, in its entry or in an answer. A server that leaves without an announcement only disappears from the list, and the daemon beside it went on as before.

The test of tests/platform/test_leaving.py, now also with a removal, failed before: 3 calls ran at the removed server in place of 1.

Why this works: a server that was on the list and is missing from it is treated as one of an evacuated failure domain: new and queued calls are refused as not run, and their senders move them to other servers. A removal can be taken back, so no answer says that the process is leaving, and the server gets calls again when it is listed. What the roster retains after an outage of the store stays listed.

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -322,6 +322,9 @@
             self.fleet.apply_document(self.published.document)
         self.rate_limiter.set_daemon_count(len(vm_list))
         own = after.get(self.vm_id)
+        is_removed = own is None and (self.vm_id in before or self.serving.is_removed)
+        if is_removed != self.serving.is_removed:
+            self.serving.set_removed(is_removed)
         if own is not None:
             self.cold_start.apply_vm(own)
         if own is not None and own.slots and own.slots != self.serving.gate.slots:
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -53,6 +53,9 @@
 EVACUATED = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
 )
+REMOVED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the backend server is not listed any more", RunState.NOT_RUN
+)
 FAILING = Refusal(
     ResultCode.BACKEND_SERVER_FAILED,
     "the backend server has failed its last calls",
@@ -109,6 +112,8 @@
         Whether the backend server is leaving, while the daemon may stay.
     is_evacuated : bool
         Whether operators have evacuated the failure domain of this VM.
+    is_removed : bool
+        Whether the backend server is missing from the list of VMs after it was on it.
     breaker : CircuitBreaker
         Refuses calls, except for probes, while the backend server fails all of them.
     on_wait : callable
@@ -128,6 +133,7 @@
     is_stopping: bool = False
     is_draining: bool = False
     is_evacuated: bool = False
+    is_removed: bool = False
     on_wait: Callable[[], None] = lambda: None
     breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
@@ -230,6 +236,16 @@
             # servers of an evacuated domain may have become cold
             self.gate.cold_start.note_restart()
 
+    def set_removed(self, is_removed: bool) -> None:
+        """Refuse new and queued calls while the backend server isn't listed; running ones continue.
+
+        A server may leave without an announcement. Unlike one, a removal can be taken back, so the
+        answers don't say that the server is leaving.
+        """
+        self.is_removed = is_removed
+        if is_removed:
+            self._apply_actions(self.gate.drain(self.clock.now_ms(), REMOVED))
+
     def set_slots(self, slots: int) -> None:
         """Change the number of slots of the backend server and start the calls that now fit."""
         self._apply_actions(self.gate.set_slots(self.clock.now_ms(), slots))
@@ -278,6 +294,8 @@
             return SERVER_LEAVING
         if self.is_evacuated:
             return EVACUATED
+        if self.is_removed:
+            return REMOVED
         return self._check_key(head)
 
     def _check_key(self, head: CallHead) -> Refusal | None:
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -76,8 +76,11 @@
     await call_until_answered_by(mesh, nodes[0], nodes[1])
 
 
-# guards against queued calls that reach a server long after its entry says that it drains
-async def test_calls_queued_for_a_draining_server_run_elsewhere(mesh: Mesh) -> None:
+# guards against queued calls that reach a server long after its entry says it drains or is gone
+@pytest.mark.parametrize("is_announced", [True, False])
+async def test_calls_queued_for_a_leaving_server_run_elsewhere(
+    mesh: Mesh, is_announced: bool
+) -> None:
     mesh.publish(make_config(routes=LONG_ROUTES))
     nodes = await mesh.add_ready(1)
     leaving = nodes[0]
@@ -96,8 +99,12 @@
         await wait_until(lambda: gate.queued() == 2)
         other = await mesh.add_node()
         await wait_until(lambda: len(leaving.daemon.vm_list or ()) == 2)
-        mesh.register(leaving, slots=1, state="draining", sequence=3)
-        await wait_until(lambda: is_known_to_leave(leaving, leaving))
+        if is_announced:
+            mesh.register(leaving, slots=1, state="draining", sequence=3)
+            await wait_until(lambda: is_known_to_leave(leaving, leaving))
+        else:
+            mesh.store.remove(f"servers/{leaving.upstream.instance}")
+            await wait_until(lambda: len(leaving.daemon.vm_list or ()) == 1)
         released.set()
     assert found == [200] * 3
     assert len(leaving.upstream.ran) == 1
@@ -146,6 +153,18 @@
     assert len(other.upstream.ran) >= 5
 
 
+# guards against a server that stays refused although its removal was taken back
+async def test_a_removed_server_gets_calls_once_it_is_listed_again(mesh: Mesh) -> None:
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    mesh.store.remove(f"servers/{node.upstream.instance}")
+    await wait_until(lambda: node.daemon.serving.is_removed)
+    assert (await mesh.call(node, "/yields/1")).status == 503
+    mesh.register(node, sequence=2)
+    await wait_until(lambda: not node.daemon.serving.is_removed)
+    assert (await mesh.call(node, "/yields/1")).status == 200
+
+
 # guards against calls that other daemons may send after the entry of a drained server is removed
 async def test_a_drained_server_gets_no_calls_after_its_removal(mesh: Mesh) -> None:
     mesh.publish(make_config())
