--- a/libs/daemon/src/wisteriaproxy/mesh/const.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/const.py
@@ -76,9 +76,11 @@
 """Concurrent calls of a backend server until the platform states its slots."""
 
 DEFAULT_MAX_CONNECTIONS = 300
-DEFAULT_MEMORY_MB = 300.0
 """Connections to the backend server until the configuration gives a limit."""
 
+DEFAULT_MEMORY_MB = 300.0
+"""Memory of the process unless the settings state it."""
+
 DEFAULT_WATCH_MS = 1_000
 """Maximum wait of one watch: an answer that was lost, or a connection that has gone silent, shows
 only after it, and what changed meanwhile must be known within 3 s."""
