--- a/tests/processes/soak/__main__.py
+++ b/tests/processes/soak/__main__.py
@@ -20,16 +20,17 @@
 CASES_SHOWN = 5
 
 
-async def run(seed: int, seconds: float, daemons: int, zones: int, rate: float, kinds: str) -> bool:
+async def run(options: argparse.Namespace) -> bool:
     """Run a soak, print what it found, and return whether every rule held."""
-    world = World(SoakFleet(), random.Random(seed), rate)
+    fleet = SoakFleet(has_links=options.links)
+    world = World(fleet, random.Random(options.seed), options.rate)
     try:
-        await world.async_setup(daemons, zones)
+        await world.async_setup(options.daemons, options.zones)
         world.start()
         disruptor = Disruptor(world)
-        chosen = tuple(kinds.split(",")) if kinds else ()
+        chosen = tuple(options.kinds.split(",")) if options.kinds else ()
         task = world.spawn(disruptor.run(chosen))
-        await asyncio.wait((task,), timeout=seconds)
+        await asyncio.wait((task,), timeout=options.seconds)
         if task.done():
             task.result()
         task.cancel()
@@ -39,7 +40,7 @@
         cases = Checker(world.record).check()
         for case in _select(cases):
             _print_case(world, case)
-        print(json.dumps(_summarize(world, disruptor, cases, seed, ended)))
+        print(json.dumps(_summarize(world, disruptor, cases, options.seed, ended)))
         return not cases
     finally:
         await world.async_unload()
@@ -119,6 +120,7 @@
         "disruptions": disruptor.played,
         "late": len(late),
         "ended": ended,
+        "memory_mb": round(max(record.memory_mb.values(), default=0.0)),
         "broken": dict(Counter(case.rule for case in cases)),
     }
 
@@ -131,11 +133,8 @@
     parser.add_argument("--zones", type=int, default=4)
     parser.add_argument("--rate", type=float, default=200.0)
     parser.add_argument("--kinds", default="", help="disruptions to play, separated by commas")
-    found = parser.parse_args()
-    is_sound = asyncio.run(
-        run(found.seed, found.seconds, found.daemons, found.zones, found.rate, found.kinds)
-    )
-    return 0 if is_sound else 1
+    parser.add_argument("--links", action="store_true", help="relays between the daemons as well")
+    return 0 if asyncio.run(run(parser.parse_args())) else 1
 
 
 if __name__ == "__main__":
--- a/tests/processes/soak/checker.py
+++ b/tests/processes/soak/checker.py
@@ -25,6 +25,8 @@
 MARGIN_S = 0.25
 """Allowance for the time between an event and its record here."""
 LOST_LIMIT = 3
+HELD_S = 0.5
+MEMORY_MB = 300
 _PROMISES = (408, 421, 429, 503)
 _CONFIG_STATUSES = (401, 403, 404)
 
@@ -70,6 +72,7 @@
             *self._check_departures(),
             *self._check_lost(),
             *self._check_kept(),
+            *self._check_held(),
         ]
         return sorted(found, key=lambda case: case.at_s)
 
@@ -112,6 +115,9 @@
     def _check_ends(self) -> Iterator[Case]:
         for host, at_s, code in self.record.ends:
             yield Case("FAULT", at_s, f"process of {host} ended by itself: {code}", host=host)
+        for host, used_mb in self.record.memory_mb.items():
+            if used_mb > MEMORY_MB:
+                yield Case("FAULT", 0.0, f"daemon of {host} used {used_mb:.0f} MB", host=host)
         for host, at_s, code, took_s in self.record.stops:
             if code != 0:
                 text = f"stop of {host} ended with {code} after {took_s:.1f} s"
@@ -227,7 +233,9 @@
         for host, at_s, _, _ in self.record.stops:
             terms[host].append(at_s)
         for sample in self.record.samples:
-            if sample.end in ("refused", "waited") or not math.isfinite(sample.written_s):
+            if sample.end not in ("answered", "closed", "cut") or not math.isfinite(
+                sample.written_s
+            ):
                 continue
             if self._has_unplanned(sample.sent_s, sample.ended_s):
                 continue
@@ -296,6 +304,17 @@
         if len(cases) > LOST_LIMIT:
             yield from cases
 
+    def _check_held(self) -> Iterator[Case]:
+        """Find requests that are unanswered half a second after their time-out."""
+        for sample in self.record.samples:
+            waited_s = sample.ended_s - sample.sent_s
+            if sample.end != "waited" or waited_s < sample.timeout_s + HELD_S:
+                continue
+            if not self.is_in_touch(sample.host, sample.sent_s, sample.ended_s):
+                continue
+            runs = ", ".join(f"{run.end} at {run.instance}" for run in self.runs_of(sample))
+            yield self._make("HELD", sample, f"held ({runs or 'not passed on'})")
+
     @staticmethod
     def _make(rule: str, sample: Sample, text: str) -> Case:
         what = f"{text}: {sample.method} {sample.path} at {sample.host}"
--- a/tests/processes/soak/clients.py
+++ b/tests/processes/soak/clients.py
@@ -1,6 +1,7 @@
 """Clients on kept and on new connections."""
 
 import asyncio
+import socket
 import time
 from collections import deque
 from typing import Any
@@ -12,6 +13,7 @@
 IDLE_LIMIT_S = 12.0
 """Clients reuse connections that were idle for up to four fifths of the idle time-out."""
 CONNECT_LIMIT_S = 1.0
+SLOW_BYTES, SLOW_PAUSE_S = 8_192, 0.05
 
 
 @attrs.define(eq=False)
@@ -66,7 +68,7 @@
         sample.sent_s = time.monotonic()
         connection = self._idle.pop() if not on_new and self.has_kept() else None
         if connection is None:
-            connection = await self._connect()
+            connection = await self._connect(is_slow=sample.reads_slowly)
         if connection is None:
             sample.end, sample.ended_s = "refused", time.monotonic()
             return
@@ -79,6 +81,9 @@
                 await connection.writer.drain()
                 sample.written_s = time.monotonic()
                 keeps = await _read_answer(connection.reader, sample)
+        except asyncio.CancelledError:
+            sample.end = "left"
+            raise
         except TimeoutError:
             sample.end = "waited"
         except OSError:
@@ -93,11 +98,18 @@
             else:
                 connection.writer.transport.abort()
 
-    async def _connect(self) -> Connection | None:
+    async def _connect(self, *, is_slow: bool) -> Connection | None:
+        found = socket.socket()
+        found.setblocking(False)
+        if is_slow:
+            found.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
-                return Connection(*await asyncio.open_connection(*self.address))
+                await asyncio.get_running_loop().sock_connect(found, self.address)
+            limit = SLOW_BYTES if is_slow else 65_536
+            return Connection(*await asyncio.open_connection(sock=found, limit=limit))
         except (OSError, TimeoutError):
+            found.close()
             return None
 
 
@@ -127,7 +139,7 @@
         if headers.get("transfer-encoding") == "chunked":
             sample.body = await _read_chunks(reader)
         elif "content-length" in headers:
-            sample.body = await reader.readexactly(int(headers["content-length"]))
+            sample.body = await _read_body(reader, int(headers["content-length"]), sample)
         else:
             sample.body = await reader.read()
     except (asyncio.IncompleteReadError, ValueError):
@@ -137,6 +149,18 @@
     return headers.get("connection", "").lower() != "close"
 
 
+async def _read_body(reader: asyncio.StreamReader, length: int, sample: Sample) -> bytes:
+    body = bytearray()
+    while len(body) < length:
+        if sample.reads_slowly:
+            await asyncio.sleep(SLOW_PAUSE_S)
+        data = await reader.read(min(length - len(body), SLOW_BYTES))
+        if not data:
+            raise asyncio.IncompleteReadError(bytes(body), length)
+        body += data
+    return bytes(body)
+
+
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     parts = []
     while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
--- a/tests/processes/soak/disruptions.py
+++ b/tests/processes/soak/disruptions.py
@@ -18,6 +18,7 @@
 EXPIRY_S = 4.5
 """Three heartbeat intervals, after which the entry of a silent backend server is removed."""
 KEPT_PER_SERVICE = 2
+OVERLAP = 5
 
 
 @attrs.define(eq=False)
@@ -41,11 +42,13 @@
         rng = self.world.rng
         acts = {**self.list_planned(), **self.list_unplanned()}
         names = list(kinds or acts)
+        running: set[asyncio.Task[None]] = set()
         while True:
             await asyncio.sleep(rng.uniform(0.5, 6.0))
+            running = {task for task in running if not task.done()}
             count = rng.choice((1, 1, 2, 3))
-            chosen = rng.sample(names, min(count, len(names)))
-            await asyncio.gather(*(self._play(name, acts[name]) for name in chosen))
+            for name in rng.sample(names, min(count, len(names), OVERLAP - len(running))):
+                running.add(self.world.spawn(self._play(name, acts[name])))
 
     async def _play(self, name: str, act: Callable[[], Awaitable[None]]) -> None:
         self.played[name] = self.played.get(name, 0) + 1
@@ -55,6 +58,7 @@
     def list_planned(self) -> dict[str, Callable[[], Awaitable[None]]]:
         return {
             "roll": self.roll,
+            "term_many": self.term_many,
             "reload": self.reload,
             "storm": self.storm,
             "release": self.release,
@@ -63,9 +67,11 @@
         }
 
     def list_unplanned(self) -> dict[str, Callable[[], Awaitable[None]]]:
-        return {
+        links = {"links_mute": self.links_mute, "links_reset": self.links_reset}
+        return (links if self.world.links else {}) | {
             "kill": self.kill,
             "kill_many": self.kill_many,
+            "early_signals": self.early_signals,
             "kill_all": self.kill_all,
             "freeze": self.freeze,
             "crash": self.crash,
@@ -118,6 +124,27 @@
             await asyncio.sleep(self.world.rng.uniform(0.2, 1.5))
         self._free(machines)
 
+    async def term_many(self) -> None:
+        """Stop and start several daemons at once."""
+        machines = self._choose(self.world.rng.randint(2, 5))
+        await asyncio.gather(*(self._restart(machine) for machine in machines))
+        self._free(machines)
+
+    async def early_signals(self) -> None:
+        """Signal processes while they start: settings that change, and a planned stop."""
+        machines = self._choose(2)
+        for machine in machines:
+            found = self.world.disrupt("early", frozenset((machine.host,)))
+            await machine.stop(signal.SIGKILL)
+            self.world.record.starts.append((machine.host, time.monotonic()))
+            await machine.start()
+            for _ in range(self.world.rng.randint(1, 5)):
+                await asyncio.sleep(self.world.rng.uniform(0.0, 0.4))
+                machine.send_signal(signal.SIGHUP)
+            await self.world.fleet.wait_ready(machine)
+            found.end_s = time.monotonic()
+        self._free(machines)
+
     async def _restart(self, machine: Machine) -> None:
         found = self.world.disrupt("term", frozenset((machine.host,)), is_planned=True)
         stop = asyncio.create_task(machine.stop(signal.SIGTERM))
@@ -318,6 +345,19 @@
             relay.mute()
         found.end_s = time.monotonic()
 
+    async def links_mute(self) -> None:
+        """Let all open connections between daemons fall silent for good."""
+        found = self.world.disrupt("links-mute", None)
+        for relay in self.world.links:
+            relay.mute()
+        found.end_s = time.monotonic()
+
+    async def links_reset(self) -> None:
+        found = self.world.disrupt("links-reset", None)
+        for relay in self.world.links:
+            relay.reset()
+        found.end_s = time.monotonic()
+
     async def _turn_away(self, mode: str) -> None:
         hosts = self.world.rng.sample(list(self.world.relays), self.world.rng.randint(1, 12))
         found = self.world.disrupt(f"store-{mode}", None)
--- a/tests/processes/soak/models.py
+++ b/tests/processes/soak/models.py
@@ -24,7 +24,7 @@
         0 if the request got no complete answer.
     end : str
         ``answered``, ``closed`` (by the daemon), ``cut`` (midway in the answer), ``refused`` (no
-        connection) or ``waited`` (the client gave up).
+        connection), ``waited`` (in vain), ``left`` (the run that called was cancelled) or ``open``.
     owner : str
         Attempt that the answer names.
     signed : str
@@ -46,11 +46,12 @@
     ended_s: float = math.inf
     number: int = 0
     status: int = 0
-    end: str = "waited"
+    end: str = "open"
     owner: str = ""
     signed: str = ""
     body: bytes = b""
     parent: str = ""
+    reads_slowly: bool = False
     faults: list[str] = attrs.field(factory=list)
 
 
@@ -156,5 +157,7 @@
     reloads: list[tuple[str, float]] = attrs.field(factory=list)
     ends: list[tuple[str, float, int]] = attrs.field(factory=list)
     """Machines whose process ended by itself, times and exit statuses."""
+    memory_mb: dict[str, float] = attrs.field(factory=dict)
+    """Most memory that the daemon of a machine has used."""
     dead: dict[str, float] = attrs.field(factory=dict)
     """Processes of backend servers that ended, and when."""
--- a/tests/processes/soak/relay.py
+++ b/tests/processes/soak/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay between the daemon of one machine and the store."""
+"""TCP relay between daemons and what they connect to: the store, or another daemon."""
 
 import asyncio
 import contextlib
@@ -63,7 +63,9 @@
             self._muted.add(writer)
         far: asyncio.StreamWriter | None = None
         try:
-            far_reader, far = await asyncio.open_connection(*self.target)
+            # daemons know each other by their addresses
+            near = (writer.get_extra_info("peername")[0], 0)
+            far_reader, far = await asyncio.open_connection(*self.target, local_addr=near)
             ways = (self._pump(reader, far, writer), self._pump(far_reader, writer, writer))
             await asyncio.gather(*ways)
         except (OSError, asyncio.CancelledError):
--- a/tests/processes/soak/world.py
+++ b/tests/processes/soak/world.py
@@ -1,17 +1,20 @@
 """A fleet with its operator, backend servers and clients, all of which keep a record."""
 
 import asyncio
+import contextlib
 import hashlib
 import itertools
 import random
+import resource
 import time
+from pathlib import Path
 from typing import Any
 
 import attrs
 from tests.platform.standins import STORE, Reply, Request, Store
 from tests.platform.support import HOST
 
-from ..support import CALLERS, READY, Fleet, Machine, make_route
+from ..support import CALLERS, PEERS, READY, Fleet, Machine, make_route
 from .clients import Clients
 from .models import Departure, Disruption, Record, Sample, Version, Work
 from .relay import Relay
@@ -32,18 +35,37 @@
 CHILD_SHARE = 0.3
 WORK_S = (0.03, 0.4)
 SLOTS, QUEUE = 20, 40
-REPORT_BYTES = 40_000
+LONG_SHARE, LONG_WORK_S = 0.03, (1.0, 4.0)
+REPORT_BYTES = (40_000, 300_000)
+SLOW_SHARE = 0.1
 HISTORY_S = 20.0
 LATE_S = 0.2
 
 
+@attrs.define(eq=False)
 class SoakFleet(Fleet):
-    """Fleet whose daemons reach the store through a relay each."""
+    """Fleet whose daemons reach the store, and maybe each other, through relays.
+
+    Parameters
+    ----------
+    has_links : bool
+        Whether a relay listens for the peers of each daemon.
+    """
+
+    has_links: bool = False
+
+    def listen_host(self, host: str) -> str:
+        """Return where a daemon listens for its peers behind its relay."""
+        return host.replace("127.78.", "127.79.")
 
     def _make_settings(self, host: str, service: str, zone: str) -> str:
         text = super()._make_settings(host, service, zone)
         relay = f"{self.host(100 + int(host.rpartition('.')[2]))}:{STORE}"
-        return text.replace(f"{self.host(1)}:{STORE}", relay)
+        text = text.replace(f"{self.host(1)}:{STORE}", relay)
+        if self.has_links:
+            peers = f"{self.listen_host(host)}:{PEERS}"
+            text = text.replace(f'peers = "{host}:{PEERS}"', f'peers = "{peers}"')
+        return text
 
 
 @attrs.define(eq=False)
@@ -63,6 +85,7 @@
     rate_per_s: float
     record: Record = attrs.field(factory=Record)
     relays: dict[str, Relay] = attrs.field(factory=dict)
+    links: list[Relay] = attrs.field(factory=list)
     clients: dict[str, Clients] = attrs.field(factory=dict)
     store_mode: str = "ok"
     load: float = 1.0
@@ -97,6 +120,10 @@
             relay = Relay(relay_host, STORE, (self.fleet.host(1), STORE))
             await relay.async_setup()
             host = self.fleet.host(10 + number)
+            if self.fleet.has_links:
+                link = Relay(host, PEERS, (self.fleet.listen_host(host), PEERS))
+                await link.async_setup()
+                self.links.append(link)
             self.relays[host] = relay
             self.clients[host] = Clients((host, CALLERS))
         self.fleet.on_upstream = self._prepare_upstream
@@ -110,7 +137,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for clients in self.clients.values():
             clients.close()
-        for relay in self.relays.values():
+        for relay in (*self.relays.values(), *self.links):
             await relay.async_unload()
         await self.fleet.async_unload()
 
@@ -128,6 +155,7 @@
             self.spawn(self._offer_load(machine))
             self.spawn(self._probe_ready(machine))
         self.spawn(self._watch_lateness())
+        self.spawn(self._watch_memory())
         self.spawn(self._forget_history())
 
     def disrupt(
@@ -271,7 +299,9 @@
         route = request.target.split("/")[1]
         left_s = int(request.headers.get("wisteriaproxy-timeout-ms", "5000")) / 1_000
         ends_s = work.at_s + left_s
-        await asyncio.sleep(self.rng.uniform(*WORK_S) * (1.0 + running / SLOTS))
+        is_long = self.rng.random() < LONG_SHARE
+        work_s = self.rng.uniform(*(LONG_WORK_S if is_long else WORK_S))
+        await asyncio.sleep(work_s * (1.0 + running / SLOTS))
         work.status = 200
         if route in INNER and self.rng.random() < CHILD_SHARE:
             sample = self._make_sample(machine.host, INNER[route][0], "GET", "", ends_s - _now())
@@ -281,7 +311,7 @@
                 work.status = 500
         if _now() > ends_s:
             work.status = 504
-        size = REPORT_BYTES if route == "report" else 40
+        size = self.rng.randint(*REPORT_BYTES) if route == "report" else 40
         body = make_body(work.attempt, work.instance, size)
         work.end = "done"
         signature = sign(work.attempt, work.instance, body)
@@ -333,7 +363,8 @@
                 return
             on_new = clients.takes_new and self.rng.random() < 0.3
             if clients.takes_new or clients.has_kept():
-                self.spawn(self._send(self._draw(machine.host), b"", on_new=on_new))
+                sample = self._draw(machine.host)
+                self.spawn(self._send(sample, b"", on_new=on_new or sample.reads_slowly))
 
     def _draw(self, host: str) -> Sample:
         rng = self.rng
@@ -352,6 +383,8 @@
         timeout_s = next((t for base, _, _, t in BASE if base == name), 2.0)
         sample = self._make_sample(host, name, method, key, timeout_s)
         sample.is_repeatable = kind != "non_idempotent"
+        if name == "report" and rng.random() < SLOW_SHARE:
+            sample.reads_slowly, sample.timeout_s = True, 5.0
         return sample
 
     def _make_sample(
@@ -385,6 +418,14 @@
             misses = 0 if reply.status == 200 else misses + 1
             clients.takes_new = misses < 2
 
+    async def _watch_memory(self) -> None:
+        """Note how much memory the daemons use."""
+        while True:
+            await asyncio.sleep(1.0)
+            for machine in self.fleet.machines:
+                most_mb = self.record.memory_mb.get(machine.host, 0.0)
+                self.record.memory_mb[machine.host] = max(most_mb, read_memory_mb(machine))
+
     async def _watch_lateness(self) -> None:
         """Note when this process itself is late, which would falsify the times."""
         while True:
@@ -396,6 +437,16 @@
                 self.record.disruptions.append(found)
 
 
+def read_memory_mb(machine: Machine) -> float:
+    """Return the memory that the daemon of a machine uses now; 0 if it doesn't run."""
+    if machine.process is None:
+        return 0.0
+    with contextlib.suppress(OSError, IndexError):
+        pages = int(Path(f"/proc/{machine.process.pid}/statm").read_text().split()[1])
+        return pages * resource.getpagesize() / 1_000_000
+    return 0.0
+
+
 def check_answer(sample: Sample) -> None:
     """Note what is wrong with an answer, and forget its body."""
     if sample.end == "answered":
