--- a/tests/processes/soak/disruptions.py
+++ b/tests/processes/soak/disruptions.py
@@ -63,6 +63,7 @@
             "storm": self.storm,
             "release": self.release,
             "replace": self.replace,
+            "reassign": self.reassign,
             "burst": self.burst,
         }
 
@@ -146,9 +147,15 @@
         self._free(machines)
 
     async def _restart(self, machine: Machine) -> None:
+        await self._end_stop(machine, *self._begin_stop(machine))
+
+    def _begin_stop(self, machine: Machine) -> tuple[Disruption, asyncio.Task[int]]:
         found = self.world.disrupt("term", frozenset((machine.host,)), is_planned=True)
-        stop = asyncio.create_task(machine.stop(signal.SIGTERM))
-        done, _ = await asyncio.wait((stop,), timeout=GRACE_S)
+        return found, asyncio.create_task(machine.stop(signal.SIGTERM))
+
+    async def _end_stop(self, machine: Machine, found: Disruption, stop: asyncio.Task[int]) -> None:
+        left_s = found.start_s + GRACE_S - time.monotonic()
+        done, _ = await asyncio.wait((stop,), timeout=max(0.0, left_s))
         if not done:
             machine.send_signal(signal.SIGKILL)
         code = await stop
@@ -282,6 +289,18 @@
             await self._start_other(machine)
         self._free(machines)
 
+    async def reassign(self) -> None:
+        """Stop daemons after their backend servers; another service gets both addresses."""
+        machines = self._choose_servers(2)
+        for machine in machines:
+            await self._leave(machine, reports=self.world.rng.random() < 0.5)
+            found, stop = self._begin_stop(machine)
+            await asyncio.sleep(REUSE_AFTER_S)
+            service = self._write_service(machine)
+            await self.world.start_server(machine, service)
+            await self._end_stop(machine, found, stop)
+        self._free(machines)
+
     async def reuse_crash(self) -> None:
         """Give addresses to another service while the entry of the crashed one is still there."""
         machines = self._choose_servers(2)
@@ -293,13 +312,17 @@
         self._free(machines)
 
     async def _start_other(self, machine: Machine) -> None:
-        rng = self.world.rng
-        service = rng.choice([name for name in SERVICES if name != machine.service])
+        await self.world.start_server(machine, self._write_service(machine))
+        if self.world.rng.random() < 0.5:
+            await self._restart(machine)
+
+    def _write_service(self, machine: Machine) -> str:
+        """Write another service to the settings of a machine and return it."""
+        others = [name for name in SERVICES if name != machine.service]
+        service = self.world.rng.choice(others)
         text = machine.settings.read_text()
         machine.settings.write_text(text.replace(f'"{machine.service}"', f'"{service}"'))
-        await self.world.start_server(machine, service)
-        if rng.random() < 0.5:
-            await self._restart(machine)
+        return service
 
     async def foreign(self) -> None:
         """Write entries of another writer."""
