--- a/tests/processes/soak/__main__.py
+++ b/tests/processes/soak/__main__.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import shutil
 import sys
 import time
 from collections import Counter
@@ -27,7 +28,7 @@
     try:
         await world.async_setup(options.daemons, options.zones)
         world.start()
-        disruptor = Disruptor(world)
+        disruptor = Disruptor(world, random.Random(f"disruptions {options.seed}"))
         chosen = tuple(options.kinds.split(",")) if options.kinds else ()
         task = world.spawn(disruptor.run(chosen))
         await asyncio.wait((task,), timeout=options.seconds)
@@ -40,6 +41,8 @@
         cases = Checker(world.record).check()
         for case in _select(cases):
             _print_case(world, case)
+        if options.logs:
+            shutil.copytree(world.fleet.folder, options.logs)
         print(json.dumps(_summarize(world, disruptor, cases, options.seed, ended)))
         return not cases
     finally:
@@ -48,8 +51,8 @@
 
 def _collect_ends(world: World) -> int:
     for machine in world.fleet.machines:
-        for code in machine.ends:
-            world.record.ends.append((machine.host, time.monotonic(), code))
+        for code, at_s in zip(machine.ends, machine.ended_s, strict=True):
+            world.record.ends.append((machine.host, at_s, code))
     return len(world.record.ends)
 
 
@@ -88,7 +91,9 @@
     named = [line for line in text if case.attempt and case.attempt in line]
     if machine.host == case.host:
         named += [line for line in text if _is_change(line) and _is_near(line, case.at_s)]
-    return named[:LINES_SHOWN]
+        # a traceback
+        named += [line for line in text if not line.startswith("{")] if not case.attempt else []
+    return named[:LINES_SHOWN] + named[LINES_SHOWN:][-LINES_SHOWN:]
 
 
 def _is_change(line: str) -> bool:
@@ -133,6 +138,7 @@
     parser.add_argument("--zones", type=int, default=4)
     parser.add_argument("--rate", type=float, default=200.0)
     parser.add_argument("--kinds", default="", help="disruptions to play, separated by commas")
+    parser.add_argument("--logs", default="", help="folder to copy settings and logs to")
     parser.add_argument("--links", action="store_true", help="relays between the daemons as well")
     return 0 if asyncio.run(run(parser.parse_args())) else 1
 
--- a/tests/processes/soak/checker.py
+++ b/tests/processes/soak/checker.py
@@ -115,6 +115,8 @@
     def _check_ends(self) -> Iterator[Case]:
         for host, at_s, code in self.record.ends:
             yield Case("FAULT", at_s, f"process of {host} ended by itself: {code}", host=host)
+        for kind, at_s in self.record.unready:
+            yield Case("FAULT", at_s, f"a daemon is not ready long after {kind}")
         for host, used_mb in self.record.memory_mb.items():
             if used_mb > MEMORY_MB:
                 yield Case("FAULT", 0.0, f"daemon of {host} used {used_mb:.0f} MB", host=host)
--- a/tests/processes/soak/disruptions.py
+++ b/tests/processes/soak/disruptions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
@@ -32,6 +33,7 @@
     """
 
     world: World
+    rng: random.Random
     played: dict[str, int] = attrs.field(factory=dict)
     _busy: set[str] = attrs.field(factory=set)
     _stopped: set[str] = attrs.field(factory=set)
@@ -39,7 +41,7 @@
 
     async def run(self, kinds: tuple[str, ...] = ()) -> None:
         """Play disruptions until cancelled, with calm spans between them."""
-        rng = self.world.rng
+        rng = self.rng
         acts = {**self.list_planned(), **self.list_unplanned()}
         names = list(kinds or acts)
         running: set[asyncio.Task[None]] = set()
@@ -53,7 +55,10 @@
     async def _play(self, name: str, act: Callable[[], Awaitable[None]]) -> None:
         self.played[name] = self.played.get(name, 0) + 1
         print(f"+{time.monotonic() - self.world.began_s:.1f} {name}", flush=True)
-        await act()
+        try:
+            await act()
+        except TimeoutError:
+            self.world.record.unready.append((name, time.monotonic()))
 
     def list_planned(self) -> dict[str, Callable[[], Awaitable[None]]]:
         return {
@@ -94,13 +99,13 @@
 
     def _choose(self, count: int) -> list[Machine]:
         free = [m for m in self.world.fleet.machines if m.name not in self._busy]
-        chosen = self.world.rng.sample(free, min(count, len(free)))
+        chosen = self.rng.sample(free, min(count, len(free)))
         return self._take(chosen)
 
     def _choose_servers(self, count: int) -> list[Machine]:
         """Take machines whose backend servers may end while the services go on."""
         ready = [m for m in self.world.fleet.machines if m.name not in self._busy]
-        self.world.rng.shuffle(ready)
+        self.rng.shuffle(ready)
         chosen: list[Machine] = []
         for machine in ready:
             left = [m for m in ready if m.service == machine.service and m not in chosen]
@@ -119,15 +124,15 @@
 
     async def roll(self) -> None:
         """Stop and start daemons in turn."""
-        machines = self._choose(self.world.rng.randint(1, 6))
+        machines = self._choose(self.rng.randint(1, 6))
         for machine in machines:
             await self._restart(machine)
-            await asyncio.sleep(self.world.rng.uniform(0.2, 1.5))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         self._free(machines)
 
     async def term_many(self) -> None:
         """Stop and start several daemons at once."""
-        machines = self._choose(self.world.rng.randint(2, 5))
+        machines = self._choose(self.rng.randint(2, 5))
         await asyncio.gather(*(self._restart(machine) for machine in machines))
         self._free(machines)
 
@@ -139,8 +144,8 @@
             await machine.stop(signal.SIGKILL)
             self.world.record.starts.append((machine.host, time.monotonic()))
             await machine.start()
-            for _ in range(self.world.rng.randint(1, 5)):
-                await asyncio.sleep(self.world.rng.uniform(0.0, 0.4))
+            for _ in range(self.rng.randint(1, 5)):
+                await asyncio.sleep(self.rng.uniform(0.0, 0.4))
                 machine.send_signal(signal.SIGHUP)
             await self.world.fleet.wait_ready(machine)
             found.end_s = time.monotonic()
@@ -185,24 +190,24 @@
         await self._kill(self._choose(1))
 
     async def kill_many(self) -> None:
-        await self._kill(self._choose(self.world.rng.randint(3, 9)))
+        await self._kill(self._choose(self.rng.randint(3, 9)))
 
     async def kill_all(self) -> None:
         await self._kill(self._choose(len(self.world.fleet.machines)))
 
     async def freeze(self) -> None:
-        machines = self._choose(self.world.rng.randint(1, 4))
+        machines = self._choose(self.rng.randint(1, 4))
         found = self.world.disrupt("freeze", frozenset(m.host for m in machines))
         for machine in machines:
             machine.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.world.rng.uniform(0.5, 7.0))
+        await asyncio.sleep(self.rng.uniform(0.5, 7.0))
         for machine in machines:
             machine.send_signal(signal.SIGCONT)
         found.end_s = time.monotonic()
         self._free(machines)
 
     async def reload(self) -> None:
-        machines = self._choose(self.world.rng.randint(1, 6))
+        machines = self._choose(self.rng.randint(1, 6))
         for machine in machines:
             self.world.record.reloads.append((machine.host, time.monotonic()))
             machine.send_signal(signal.SIGHUP)
@@ -212,13 +217,13 @@
     # the operator and the clients
 
     async def storm(self) -> None:
-        for _ in range(self.world.rng.randint(5, 20)):
+        for _ in range(self.rng.randint(5, 20)):
             self.world.change_configuration()
-            await asyncio.sleep(self.world.rng.uniform(0.02, 0.3))
+            await asyncio.sleep(self.rng.uniform(0.02, 0.3))
 
     async def burst(self) -> None:
-        self.world.load = self.world.rng.uniform(2.0, 4.0)
-        await asyncio.sleep(self.world.rng.uniform(1.0, 4.0))
+        self.world.load = self.rng.uniform(2.0, 4.0)
+        await asyncio.sleep(self.rng.uniform(1.0, 4.0))
         self.world.load = 1.0
 
     # backend servers
@@ -244,15 +249,15 @@
             self.world.report_draining(machine)
         else:
             self.world.remove_entry(machine)
-        await asyncio.sleep(DRAIN_S + self.world.rng.uniform(0.3, 2.0))
+        await asyncio.sleep(DRAIN_S + self.rng.uniform(0.3, 2.0))
         await self.world.end_server(machine)
         if reports:
             self.world.remove_entry(machine)
 
     async def crash(self) -> None:
-        machines = self._choose_servers(self.world.rng.randint(1, 3))
+        machines = self._choose_servers(self.rng.randint(1, 3))
         old = [await self._end(machine) for machine in machines]
-        await asyncio.sleep(self.world.rng.uniform(0.3, 3.0))
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         for machine in machines:
             await self.world.start_server(machine)
         self._expire(old)
@@ -261,7 +266,7 @@
     async def restart_same_id(self) -> None:
         machines = self._choose_servers(2)
         old = [await self._end(machine) for machine in machines]
-        await asyncio.sleep(self.world.rng.uniform(0.1, 2.0))
+        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
         for machine, instance in zip(machines, old, strict=True):
             await self.world.start_server(machine, instance=instance)
         self._free(machines)
@@ -284,7 +289,7 @@
         """Give addresses to another service after planned departures."""
         machines = self._choose_servers(2)
         for machine in machines:
-            await self._leave(machine, reports=self.world.rng.random() < 0.5)
+            await self._leave(machine, reports=self.rng.random() < 0.5)
             await asyncio.sleep(REUSE_AFTER_S)
             await self._start_other(machine)
         self._free(machines)
@@ -293,7 +298,7 @@
         """Stop daemons after their backend servers; another service gets both addresses."""
         machines = self._choose_servers(2)
         for machine in machines:
-            await self._leave(machine, reports=self.world.rng.random() < 0.5)
+            await self._leave(machine, reports=self.rng.random() < 0.5)
             found, stop = self._begin_stop(machine)
             await asyncio.sleep(REUSE_AFTER_S)
             service = self._write_service(machine)
@@ -313,20 +318,20 @@
 
     async def _start_other(self, machine: Machine) -> None:
         await self.world.start_server(machine, self._write_service(machine))
-        if self.world.rng.random() < 0.5:
+        if self.rng.random() < 0.5:
             await self._restart(machine)
 
     def _write_service(self, machine: Machine) -> str:
         """Write another service to the settings of a machine and return it."""
         others = [name for name in SERVICES if name != machine.service]
-        service = self.world.rng.choice(others)
+        service = self.rng.choice(others)
         text = machine.settings.read_text()
         machine.settings.write_text(text.replace(f'"{machine.service}"', f'"{service}"'))
         return service
 
     async def foreign(self) -> None:
         """Write entries of another writer."""
-        store, rng = self.world.fleet.store, self.world.rng
+        store, rng = self.world.fleet.store, self.rng
         name = f"servers/x{next(self._strange)}"
         host = self.world.fleet.host(250)
         fields = f'"service": "yieldview", "address": "{host}:8005", "zone": "zone0", "slots": 8'
@@ -351,7 +356,7 @@
             return
         found = self.world.disrupt(f"store-{mode}", None)
         self.world.store_mode = mode
-        await asyncio.sleep(self.world.rng.uniform(0.3, 8.0))
+        await asyncio.sleep(self.rng.uniform(0.3, 8.0))
         self.world.store_mode = "ok"
         found.end_s = time.monotonic()
 
@@ -382,11 +387,11 @@
         found.end_s = time.monotonic()
 
     async def _turn_away(self, mode: str) -> None:
-        hosts = self.world.rng.sample(list(self.world.relays), self.world.rng.randint(1, 12))
+        hosts = self.rng.sample(list(self.world.relays), self.rng.randint(1, 12))
         found = self.world.disrupt(f"store-{mode}", None)
         for host in hosts:
             self.world.relays[host].set_mode(mode)
-        await asyncio.sleep(self.world.rng.uniform(0.5, 8.0))
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
         for host in hosts:
             self.world.relays[host].set_mode("pass")
         found.end_s = time.monotonic()
@@ -407,13 +412,13 @@
         if self.world.store_mode != "ok":
             return
         found = self.world.disrupt("store-expiry", None)
-        self.world.store_mode = self.world.rng.choice(("503", "silent"))
-        machines = self._choose(self.world.rng.randint(2, 8))
-        await asyncio.sleep(self.world.rng.uniform(3.0, 7.0))
+        self.world.store_mode = self.rng.choice(("503", "silent"))
+        machines = self._choose(self.rng.randint(2, 8))
+        await asyncio.sleep(self.rng.uniform(3.0, 7.0))
         for machine in machines:
             self.world.remove_entry(machine, is_departure=False)
         self.world.store_mode = "ok"
-        await asyncio.sleep(self.world.rng.uniform(0.2, 1.8))
+        await asyncio.sleep(self.rng.uniform(0.2, 1.8))
         for machine in machines:
             self.world.fleet.register(machine, slots=SLOTS)
         found.end_s = time.monotonic()
--- a/tests/processes/soak/models.py
+++ b/tests/processes/soak/models.py
@@ -157,6 +157,8 @@
     reloads: list[tuple[str, float]] = attrs.field(factory=list)
     ends: list[tuple[str, float, int]] = attrs.field(factory=list)
     """Machines whose process ended by itself, times and exit statuses."""
+    unready: list[tuple[str, float]] = attrs.field(factory=list)
+    """Disruptions after which a daemon did not get ready in time, and when that was seen."""
     memory_mb: dict[str, float] = attrs.field(factory=dict)
     """Most memory that the daemon of a machine has used."""
     dead: dict[str, float] = attrs.field(factory=dict)
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -55,6 +55,8 @@
     ----------
     ends : list of int
         Exit statuses of processes that ended although nobody stopped them.
+    ended_s : list of float
+        When they ended, by the monotonic clock.
     """
 
     name: str
@@ -66,6 +68,7 @@
     log: Path
     process: asyncio.subprocess.Process | None = None
     ends: list[int] = attrs.field(factory=list)
+    ended_s: list[float] = attrs.field(factory=list)
     born_ms: int = 0
     is_stopping: bool = False
     _keeper: asyncio.Task[None] | None = None
@@ -95,6 +98,7 @@
             if self.is_stopping:
                 return
             self.ends.append(code)
+            self.ended_s.append(time.monotonic())
             await asyncio.sleep(RESTART_DELAY_S)
             await self._spawn()
 
@@ -171,6 +175,11 @@
         await self.store.http.async_unload()
         self._folder.cleanup()
 
+    @property
+    def folder(self) -> Path:
+        """Folder of the settings and logs."""
+        return Path(self._folder.name)
+
     def host(self, last: int) -> str:
         return f"127.78.{self.subnet}.{last}"
 
