--- a/tests/processes/soak/__main__.py
+++ b/tests/processes/soak/__main__.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import shutil
 import sys
 import time
 from collections import Counter
@@ -20,16 +21,17 @@
 CASES_SHOWN = 5
 
 
-async def run(seed: int, seconds: float, daemons: int, zones: int, rate: float, kinds: str) -> bool:
+async def run(options: argparse.Namespace) -> bool:
     """Run a soak, print what it found, and return whether every rule held."""
-    world = World(SoakFleet(), random.Random(seed), rate)
+    fleet = SoakFleet(has_links=options.links)
+    world = World(fleet, random.Random(options.seed), options.rate)
     try:
-        await world.async_setup(daemons, zones)
+        await world.async_setup(options.daemons, options.zones)
         world.start()
-        disruptor = Disruptor(world)
-        chosen = tuple(kinds.split(",")) if kinds else ()
+        disruptor = Disruptor(world, random.Random(f"disruptions {options.seed}"))
+        chosen = tuple(options.kinds.split(",")) if options.kinds else ()
         task = world.spawn(disruptor.run(chosen))
-        await asyncio.wait((task,), timeout=seconds)
+        await asyncio.wait((task,), timeout=options.seconds)
         if task.done():
             task.result()
         task.cancel()
@@ -39,7 +41,9 @@
         cases = Checker(world.record).check()
         for case in _select(cases):
             _print_case(world, case)
-        print(json.dumps(_summarize(world, disruptor, cases, seed, ended)))
+        if options.logs:
+            shutil.copytree(world.fleet.folder, options.logs)
+        print(json.dumps(_summarize(world, disruptor, cases, options.seed, ended)))
         return not cases
     finally:
         await world.async_unload()
@@ -47,8 +51,8 @@
 
 def _collect_ends(world: World) -> int:
     for machine in world.fleet.machines:
-        for code in machine.ends:
-            world.record.ends.append((machine.host, time.monotonic(), code))
+        for code, at_s in zip(machine.ends, machine.ended_s, strict=True):
+            world.record.ends.append((machine.host, at_s, code))
     return len(world.record.ends)
 
 
@@ -87,7 +91,9 @@
     named = [line for line in text if case.attempt and case.attempt in line]
     if machine.host == case.host:
         named += [line for line in text if _is_change(line) and _is_near(line, case.at_s)]
-    return named[:LINES_SHOWN]
+        # a traceback
+        named += [line for line in text if not line.startswith("{")] if not case.attempt else []
+    return named[:LINES_SHOWN] + named[LINES_SHOWN:][-LINES_SHOWN:]
 
 
 def _is_change(line: str) -> bool:
@@ -119,6 +125,7 @@
         "disruptions": disruptor.played,
         "late": len(late),
         "ended": ended,
+        "memory_mb": round(max(record.memory_mb.values(), default=0.0)),
         "broken": dict(Counter(case.rule for case in cases)),
     }
 
@@ -131,11 +138,9 @@
     parser.add_argument("--zones", type=int, default=4)
     parser.add_argument("--rate", type=float, default=200.0)
     parser.add_argument("--kinds", default="", help="disruptions to play, separated by commas")
-    found = parser.parse_args()
-    is_sound = asyncio.run(
-        run(found.seed, found.seconds, found.daemons, found.zones, found.rate, found.kinds)
-    )
-    return 0 if is_sound else 1
+    parser.add_argument("--logs", default="", help="folder to copy settings and logs to")
+    parser.add_argument("--links", action="store_true", help="relays between the daemons as well")
+    return 0 if asyncio.run(run(parser.parse_args())) else 1
 
 
 if __name__ == "__main__":
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -59,6 +59,8 @@
     ----------
     ends : list of int
         Exit statuses of processes that ended although nobody stopped them.
+    ended_s : list of float
+        When they ended, by the monotonic clock.
     """
 
     name: str
@@ -70,6 +72,7 @@
     log: Path
     process: asyncio.subprocess.Process | None = None
     ends: list[int] = attrs.field(factory=list)
+    ended_s: list[float] = attrs.field(factory=list)
     born_ms: int = 0
     is_stopping: bool = False
     _keeper: asyncio.Task[None] | None = None
@@ -99,6 +102,7 @@
             if self.is_stopping:
                 return
             self.ends.append(code)
+            self.ended_s.append(time.monotonic())
             await asyncio.sleep(RESTART_DELAY_S)
             await self._spawn()
 
@@ -179,6 +183,11 @@
             self._claim.close()
         self._folder.cleanup()
 
+    @property
+    def folder(self) -> Path:
+        """Folder of the settings and logs."""
+        return Path(self._folder.name)
+
     def host(self, last: int) -> str:
         return f"127.78.{self.subnet}.{last}"
 
