--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 import pytest
+from tests.platform.standins import Reply
 
-from .support import CONFIG_APPLY_S, Fleet, make_route
+from .support import CONFIG_APPLY_S, STABLE_WINDOW_S, Fleet, make_route
 
 pytestmark = pytest.mark.anyio
 
@@ -50,3 +51,47 @@
         assert [run.service for run in fleet.find_runs(attempt)] == ["order"]
     pages = [await fleet.read_metrics(machine) for machine in machines]
     assert any('platform_refused_total{resource="servers"}' in page for page in pages)
+
+
+ODD_ANSWERS = [
+    Reply(body=b""),
+    Reply(body=b"[]"),
+    Reply(body=b"\xff\x00"),
+    Reply(body=b"[" * 100_000),
+    Reply(body=b'{"items": 7, "events": {}, "as_of": "x"}'),
+    Reply(body=b'{"items": [7, null, {}], "events": [[]], "as_of": true}'),
+    Reply(body=b'{"items": [], "events": [], "as_of": -5, "more_pages": true}'),
+    Reply(body=b'{"items": [], "events": [], "as_of": 1180591620717411303424}'),
+    Reply(headers={"store-era": "9" * 5_000}, body=b'{"items": [], "events": [], "as_of": 9}'),
+    Reply(headers={"store-era": "\u00b2"}, body=b'{"items": [], "events": [], "as_of": 9}'),
+    Reply(
+        body=b'{"items": [{"key": "servers/x", "revision": 1e400, "value": 7}],'
+        b' "events": [{"key": "op/config", "revision": 9, "value": "e30="},'
+        b' {"key": "servers/x", "revision": 9223372036854775808, "value": "e30="}], "as_of": 9}'
+    ),
+    Reply(status=410, body=b"gone"),
+    Reply(status=999, body=b""),
+    Reply(raw=b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n\r\n", closes=True),
+    Reply(raw=b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n-1\r\n", closes=True),
+    Reply(raw=b"\x00" * 1_000, closes=True),
+]
+
+
+async def test_odd_answers_of_the_store_end_no_daemon(fleet: Fleet) -> None:
+    """Guards against an answer whose fields or headers raise in the task that reads the store."""
+    fleet.publish()
+    machines = await fleet.add([("yield", "a"), ("order", "a"), ("yield", "b")])
+    for answer in ODD_ANSWERS:
+        fleet.store.intercept = lambda _request, answer=answer: answer  # type: ignore[misc]
+        for connection in list(fleet.store.http.connections):
+            connection.abort()
+        await asyncio.sleep(0.5)
+    fleet.store.intercept = None
+    assert not {machine.name: machine.ends for machine in machines if machine.ends}
+    fleet.publish(routes=[make_route("yields", "order", "idempotent")])
+    await asyncio.sleep(STABLE_WINDOW_S + CONFIG_APPLY_S)
+    for machine in machines:
+        attempt = fleet.make_attempt()
+        assert (await fleet.call(machine, "/yields/1", attempt=attempt)).status == 200
+        assert [run.service for run in fleet.find_runs(attempt)] == ["order"]
+    assert not {machine.name: machine.ends for machine in machines if machine.ends}
