Check control messages of peers before the library reads them

A control message that is long enough to have several segments, and is cut or damaged in one of them, ended the daemon that received it (SIGABRT: the library throws `Premature EOF` where C++ allows no exception). It was found by a test with odd messages of a peer; no record shows it.

Cause: packed messages were read from a stream, whose further segments are read only when they are used or released. Messages are now unpacked first, within a bound on their size, and then read from memory, where a missing segment is an ordinary error. Their form doesn't change.

--- a/libs/daemon/src/wisteriaproxy/control/codec.py
+++ b/libs/daemon/src/wisteriaproxy/control/codec.py
@@ -10,6 +10,7 @@
 import capnp
 
 from .kinds import KINDS
+from .packing import WORD_BYTES, unpack
 from .schema import strip_new_type, strip_optional, to_camel_case
 
 _SCHEMA_FILE = resources.files("wisteriaproxy.control") / "control.capnp"
@@ -44,10 +45,13 @@
     cls = KINDS.get(kind)
     if cls is None:
         return ControlFault.KIND
+    content = unpack(payload, _TRAVERSAL_LIMIT_WORDS * WORD_BYTES)
+    if content is None:
+        return ControlFault.GARBLED
     struct = getattr(_schema, cls.__name__)
     try:
-        reader = struct.from_bytes_packed(payload, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS)
-        return _from_reader(cls, reader)
+        with struct.from_bytes(content, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS) as reader:
+            return _from_reader(cls, reader)
     except (capnp.KjException, ValueError, TypeError, KeyError):
         return ControlFault.GARBLED
 
--- a/tests/wisteriaproxy/test_control_codec.py
+++ b/tests/wisteriaproxy/test_control_codec.py
@@ -14,6 +14,7 @@
 from wisteriaproxy.mesh.ranges import WHOLE_MAX
 
 KIND_ENTRIES = 64
+KIND_EVACUATIONS = 68
 VM = Vm(VmId("10.0.0.1"), "10.0.0.1", 1, 2, FailureDomain("north"), "yields")
 POSITION = StorePosition(1, 7)
 CHANGES = EntryChanges(
@@ -91,3 +92,23 @@
     except capnp.KjException as error:  # pragma: no cover
         raise AssertionError("the exception is not turned into a fault") from error
     assert isinstance(found, ControlFault | KINDS[kind])
+
+
+@seed(35)
+@settings(max_examples=200, deadline=None, database=None)
+@given(st.lists(st.text(max_size=30), max_size=60), st.integers(0, 10_000), st.data())
+def test_a_long_message_survives_and_is_refused_when_cut(
+    names: list[str], size: int, data: st.DataObject
+) -> None:
+    """Guards against a cut segment, on which the library ends the process."""
+    message = Evacuations(1, 2, (*names, "x" * size))
+    payload = encode_control(message)
+    assert isinstance(payload, bytes)
+    assert decode_control(KIND_EVACUATIONS, payload) == message
+    cut = payload[: data.draw(st.integers(0, len(payload) - 1))]
+    assert isinstance(decode_control(KIND_EVACUATIONS, cut), ControlFault | Evacuations)
+
+
+def test_a_message_that_unpacks_to_too_much_is_refused() -> None:
+    """Guards against runs of zeros that take a thousand times the memory of the message."""
+    assert decode_control(KIND_EVACUATIONS, b"\x00\xff" * 100_000) is ControlFault.GARBLED
