Match the platform's routes against the path as it was sent

Before the fix test_status_by_path_host_and_key[/%79ields/1] failed: 200 in place of 404.

The fix: the platform's dialect matches the segments as they were sent. What counts as ambiguous is still judged on the decoded path. The project's own routes match as before.

--- a/libs/config/src/wisteria_config/models.py
+++ b/libs/config/src/wisteria_config/models.py
@@ -368,7 +368,9 @@
         record = self._keys_by_digest.get(sha256)
         return record is not None and record.id == key_id
 
-    def match_route(self, method: str, path: str, host: str = "") -> Route | None:
+    def match_route(
+        self, method: str, path: str, host: str = "", *, decodes: bool = True
+    ) -> Route | None:
         """Return the route with the longest pattern that matches, or None.
 
         Parameters
@@ -381,12 +383,14 @@
             no route.
         host : str
             Host header of the request; routes without a host match any.
+        decodes : bool
+            Whether patterns match the decoded path, or the path as it was sent.
         """
         for name in (host.lower(), "") if host else ("",):
             index = self._route_indexes.get(name)
             if index is None:
                 continue
-            route = index.find(method, path, const.ANY_METHOD)
+            route = index.find(method, path, const.ANY_METHOD, decodes=decodes)
             if route is not None:
                 return route
         return None
--- a/libs/config/src/wisteria_config/paths.py
+++ b/libs/config/src/wisteria_config/paths.py
@@ -58,7 +58,7 @@
                 node.target = target
         return cls(roots)
 
-    def find(self, method: str, path: str, fallback: str = "") -> T | None:
+    def find(self, method: str, path: str, fallback: str = "", *, decodes: bool = True) -> T | None:
         """Return the target of the longest pattern that matches `path`, or None.
 
         Parameters
@@ -67,8 +67,10 @@
             Method to look up first.
         fallback : str
             Method to look up if the first has no match.
+        decodes : bool
+            Whether patterns match the decoded segments of the path, or those that were sent.
         """
-        segments = split_path(path)
+        segments = split_path(path, decodes=decodes)
         if segments is None:
             return None
         ends_with_slash = path.partition("?")[0].endswith("/")
@@ -129,8 +131,13 @@
     return len(pattern) > 1 and pattern.endswith("/")
 
 
-def split_path(path: str) -> list[str] | None:
-    """Return the decoded segments of a request path, or None when it is ambiguous.
+def split_path(path: str, *, decodes: bool = True) -> list[str] | None:
+    """Return the segments of a request path, or None when it is ambiguous once it is decoded.
+
+    Parameters
+    ----------
+    decodes : bool
+        Whether the segments are returned decoded, or as they were sent.
 
     Examples
     --------
@@ -145,9 +152,12 @@
     segments = path.split("/")[1:]
     if segments[-1] == "":
         segments.pop()
+    decoded = segments
     if "%" in path:
-        segments = [unquote(segment, errors="replace") for segment in segments]
-    return segments if all(map(_is_unambiguous, segments)) else None
+        decoded = [unquote(segment, errors="replace") for segment in segments]
+    if not all(map(_is_unambiguous, decoded)):
+        return None
+    return decoded if decodes else segments
 
 
 def _is_unambiguous(segment: str) -> bool:
--- a/tests/config/test_paths.py
+++ b/tests/config/test_paths.py
@@ -50,3 +50,20 @@
     assert index.find("GET", "/yields/") == "below"
     assert index.find("GET", "/yields/7") == "below"
     assert index.find("GET", "/yields/7/8?x=1") == "deeper"
+
+
+@pytest.mark.parametrize(
+    ("path", "pattern"),
+    [
+        ("/stalls/all", "/stalls/all"),
+        ("/%73talls/9", "/"),
+        ("/stalls/%61ll", "/stalls/{stall}"),
+        ("/stalls/9/%73tatus", "/stalls/{stall}"),
+        ("/stalls/%2e%2E/orders", None),
+        ("/stalls%2f9", None),
+    ],
+)
+def test_an_encoded_path_matches_as_it_was_sent(path: str, pattern: str | None) -> None:
+    """Guards against a route whose prefix begins the decoded path but not the one that was sent."""
+    index = RouteIndex.build(("GET", pattern, pattern) for pattern in PATTERNS)
+    assert index.find("GET", path, decodes=False) == pattern
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -55,6 +55,8 @@
     [
         ("/none/1", {}, 404),
         ("/yields", {}, 404),
+        ("/%79ields/1", {}, 404),
+        ("/yields/%79", {}, 200),
         ("/yields/1", {"host": "other.example"}, 404),
         ("/yields/1", {"authorization": "Bearer wrong-wrong-wrong"}, 401),
         ("/yields/1", {"authorization": ""}, 401),
