Probe quiet links between daemons, and close silent ones

What callers saw: after connections between daemons had gone silent without a reset, calls between them waited until their deadline and got 504, for as long as both daemons lived, while new connections worked.

Cause: a link had no liveness of its own. TCP's time-out and keep-alive notice a peer that acknowledges nothing, but not a connection whose bytes are acknowledged and lost on the way, nor a peer that has stopped. Relays of control traffic were given up after two seconds without news, links never.

What was in flight is lost as before: 502, or 504 at a deadline within 2.5 s.

Why this works: each 0.5 s, a link on which nothing was received since the last check is probed, and closed after three probes without an answer; its calls end as with any lost link, and the next call dials. Idle links are probed at a rate that is bounded for the whole daemon. The hello says whether a daemon answers probes, so that daemons of earlier versions, which close a link on an unknown frame, get none. Checks count calls of the event loop, so a pause of this process isn't taken for the peer's.

A peer that is stopped for longer than about two seconds now loses the calls that wait for it, which end with 502, or run elsewhere if they may be repeated.

--- a/libs/wire/src/wisteria_wire/codec.py
+++ b/libs/wire/src/wisteria_wire/codec.py
@@ -50,7 +50,10 @@
 
 def encode_hello(hello: Hello) -> bytes:
     message = _schema.Hello.new_message(
-        protocol=hello.protocol, vmId=hello.vm_id, incarnation=hello.incarnation
+        protocol=hello.protocol,
+        vmId=hello.vm_id,
+        incarnation=hello.incarnation,
+        answersProbes=hello.answers_probes,
     )
     return bytes(message.to_bytes())
 
@@ -59,7 +62,9 @@
     """Decode a hello, or return the fault of a malformed `payload`."""
     try:
         with _open_message(_schema.Hello, payload) as message:
-            return Hello(message.protocol, VmId(message.vmId), message.incarnation)
+            return Hello(
+                message.protocol, VmId(message.vmId), message.incarnation, message.answersProbes
+            )
     except (capnp.KjException, ValueError):
         return FrameFault.GARBLED
 
--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -34,6 +34,14 @@
 KEEP_ALIVE_PROBES = 2
 """Unanswered probes after which a connection is closed; a single one may have been lost."""
 
+LINK_CHECK_INTERVAL_MS = 500
+"""Interval of checking that peers still send anything."""
+IDLE_PROBES_PER_CHECK = 20
+"""Idle links that are probed in one interval, which bounds the cost in a large fleet."""
+MAX_UNANSWERED_PROBES = 3
+"""Probes without an answer after which a link counts as silent: more time than the event loop of a
+busy peer takes, and less than TCP needs to give up a peer that is cut off."""
+
 DEFAULT_CONNECT_TIMEOUT_MS = 500
 DEFAULT_BACKEND_IDLE_TIMEOUT_MS = 15_000
 FRESH_CONNECTION_MAX_IDLE_MS = 1_000
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -21,7 +21,12 @@
 )
 from .const import PROTOCOL_VERSION, WINDOW_BYTES
 from .frames import FrameReader, encode_frame
-from .liveness import count_unacknowledged, set_tcp_timeouts
+from .liveness import (
+    LinkLiveness,
+    LivenessAction,
+    count_unacknowledged,
+    set_tcp_timeouts,
+)
 from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
 from .tls import read_peer_names
 
@@ -163,6 +168,8 @@
         self._next_call_id = 1
         self._close_reason = "closed by the peer"
         self._is_finishing = False
+        self._liveness = LinkLiveness()
+        self._has_told = False
 
     @property
     def is_open(self) -> bool:
@@ -186,6 +193,8 @@
     def data_received(self, data: bytes) -> None:
         """Process the frames that `data` completes; close the link on a malformed one."""
         self.received_bytes += len(data)
+        self._liveness.note_received()
+        self._has_told = False
         if self._is_finishing:
             return
         for frame in self._reader.feed(data):
@@ -254,8 +263,20 @@
 
     def send_control(self, kind: int, payload: bytes) -> None:
         """Send a control message; the call id field of its frame carries the kind."""
+        self._has_told = True
         self.send_frame(FrameKind.CONTROL, kind, payload)
 
+    def check_liveness(self, idle_checks: int) -> None:
+        """Probe a quiet peer, and close the link if it stays silent."""
+        if self.peer is None or not self.peer.answers_probes or not self.is_open:
+            return
+        is_waiting = bool(self._pending) or self._has_told
+        match self._liveness.check(is_waiting=is_waiting, idle_checks=idle_checks):
+            case LivenessAction.PROBE:
+                self.send_frame(FrameKind.PROBE, 0, b"")
+            case LivenessAction.CLOSE:
+                self.close("the peer is silent")
+
     def cancel_call(self, call_id: int) -> None:
         """Drop a pending call and tell the peer to cancel it."""
         if self._pending.pop(call_id, None) is not None:
@@ -284,6 +305,8 @@
                 self._handle_cancel(frame)
             case FrameKind.CONTROL:
                 self._handler.handle_control(self, frame.call_id, frame.payload)
+            case FrameKind.PROBE:
+                self.send_frame(FrameKind.PROBE_ANSWER, 0, b"")
             case FrameKind.HELLO:
                 return FrameFault.GARBLED
         return None
--- a/libs/wire/src/wisteria_wire/liveness.py
+++ b/libs/wire/src/wisteria_wire/liveness.py
@@ -1,16 +1,67 @@
-"""TCP options that detect an unresponsive or reset peer."""
+"""Detects unresponsive, silent or reset peers, by TCP options and by probes."""
 
 import asyncio
+import enum
 import fcntl
 import socket
 import struct
 import termios
 
-from .const import KEEP_ALIVE_PROBE_S, KEEP_ALIVE_PROBES, TCP_USER_TIMEOUT_MS
+import attrs
+
+from .const import (
+    KEEP_ALIVE_PROBE_S,
+    KEEP_ALIVE_PROBES,
+    MAX_UNANSWERED_PROBES,
+    TCP_USER_TIMEOUT_MS,
+)
 
 _INT = struct.Struct("@i")
 
 
+class LivenessAction(enum.Enum):
+    """What to do with a link after a check."""
+
+    KEEP = "keep"
+    PROBE = "probe"
+    CLOSE = "close"
+
+
+@attrs.define
+class LinkLiveness:
+    """Decides when a link has gone silent, without input or output.
+
+    TCP notices a peer that acknowledges nothing, but not a connection on which only the bytes get
+    lost, nor a peer that has stopped reading. Checks must be made at regular intervals; the time
+    during which this process itself was paused then doesn't count.
+    """
+
+    _quiet_checks: int = 0
+    _unanswered: int = 0
+
+    def note_received(self) -> None:
+        self._quiet_checks = -1
+        self._unanswered = 0
+
+    def check(self, *, is_waiting: bool, idle_checks: int) -> LivenessAction:
+        """Return what to do with a link.
+
+        Parameters
+        ----------
+        is_waiting : bool
+            Whether anything was sent that the peer may not have got.
+        idle_checks : int
+            Checks without a received byte after which a link is probed also if it is not waiting.
+        """
+        self._quiet_checks += 1
+        if self._quiet_checks < (1 if is_waiting or self._unanswered else idle_checks):
+            return LivenessAction.KEEP
+        if self._unanswered >= MAX_UNANSWERED_PROBES:
+            return LivenessAction.CLOSE
+        self._unanswered += 1
+        return LivenessAction.PROBE
+
+
 def has_pending_error(transport: asyncio.Transport) -> bool:
     """Return whether the connection was reset although reads show an orderly end of stream.
 
--- a/libs/wire/src/wisteria_wire/models.py
+++ b/libs/wire/src/wisteria_wire/models.py
@@ -20,6 +20,8 @@
     CREDIT = 7
     CANCEL = 8
     CONTROL = 9
+    PROBE = 10
+    PROBE_ANSWER = 11
 
 
 class FrameFault(enum.Enum):
@@ -42,11 +44,18 @@
 
 @attrs.frozen
 class Hello:
-    """First message on a link; each side sends one."""
+    """First message on a link; each side sends one.
+
+    Parameters
+    ----------
+    answers_probes : bool
+        Whether the side answers probes; earlier versions don't know these frames.
+    """
 
     protocol: int
     vm_id: VmId
     incarnation: int
+    answers_probes: bool = False
 
 
 @attrs.frozen
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import ssl
 
 import anyio
@@ -14,6 +15,8 @@
     DEFAULT_HELLO_TIMEOUT_MS,
     DEFAULT_REDIAL_MAX_MS,
     DEFAULT_REDIAL_MIN_MS,
+    IDLE_PROBES_PER_CHECK,
+    LINK_CHECK_INTERVAL_MS,
     PROTOCOL_VERSION,
 )
 from .link import Link, LinkHandler
@@ -61,7 +64,7 @@
         clock: Clock,
     ) -> None:
         self._handler = handler
-        self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation)
+        self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation, answers_probes=True)
         # without certificates the peer identifies this VM by the source address
         self._local_addr = (str(vm_id), 0) if material is None else None
         self._dial_context: ssl.SSLContext | None = None
@@ -76,6 +79,7 @@
         # includes links that another one to the same peer has superseded
         self._all: set[Link] = set()
         self._server: asyncio.Server | None = None
+        self._checks: asyncio.TimerHandle | None = None
 
     async def async_setup(self, host: str, port: int) -> int:
         """Start listening for peers and return the port."""
@@ -83,12 +87,15 @@
         self._server = await loop.create_server(
             self._accept_link, host, port, ssl=self._listen_context
         )
+        self._schedule_checks()
         return int(self._server.sockets[0].getsockname()[1])
 
     async def async_unload(self) -> None:
         """Stop listening and close every link after its write buffer has been flushed."""
         if self._server is not None:
             self._server.close()
+        if self._checks is not None:
+            self._checks.cancel()
         for link in list(self._all):
             link.finish("the daemon stops")
 
@@ -146,6 +153,16 @@
         finally:
             self._dialing.pop(vm.vm_id).set()
 
+    def _schedule_checks(self) -> None:
+        delay_s = LINK_CHECK_INTERVAL_MS / _MS_PER_S
+        self._checks = asyncio.get_running_loop().call_later(delay_s, self._check_links)
+
+    def _check_links(self) -> None:
+        idle_checks = max(1, math.ceil(len(self._all) / IDLE_PROBES_PER_CHECK))
+        for link in list(self._all):
+            link.check_liveness(idle_checks)
+        self._schedule_checks()
+
     def _accept_link(self) -> Link:
         link = Link(self._handler, self._hello, None)
         self._all.add(link)
--- a/libs/wire/src/wisteria_wire/wire.capnp
+++ b/libs/wire/src/wisteria_wire/wire.capnp
@@ -4,6 +4,7 @@
   protocol @0 :UInt8;
   vmId @1 :Text;
   incarnation @2 :UInt64;
+  answersProbes @3 :Bool;
 }
 
 struct CallHead {
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -272,3 +272,24 @@
 def _port_of(pool: LinkPool) -> int:
     assert pool._server is not None
     return int(pool._server.sockets[0].getsockname()[1])
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_only_peers_that_answer_probes_are_probed(
+    fixture: Fixture, run_loop: RunLoop, answers: bool
+) -> None:
+    """Guards against links to daemons of earlier versions, which close on an unknown frame."""
+
+    async def body() -> None:
+        link, dialer, listener = await open_link(fixture, Handler())
+        assert link.peer is not None
+        link.peer = attrs.evolve(link.peer, answers_probes=answers)
+        link.send_call(HEAD)
+        before = link.sent_bytes
+        for _ in range(2):
+            link.check_liveness(1)
+        assert (link.sent_bytes > before) is answers
+        await dialer.async_unload()
+        await listener.async_unload()
+
+    run_loop(body)
