Test signals, reloads and a removed entry during a stop

tests/processes/test_stops.py: a second SIGTERM, SIGHUPs, configurations and the removal of the entry of the stopped daemon's backend server, while eight calls run; at the daemon that took them and at the one that serves them. It guards what no test covered.

--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -176,6 +176,39 @@
     assert [(round(one.sent_s - started_s, 2), one.reply.status) for one in lost] == []
 
 
+@pytest.mark.parametrize("at_entry", [True, False])
+async def test_signals_and_changes_during_a_stop_cut_no_call_off(
+    fleet: Fleet, at_entry: bool
+) -> None:
+    """Guards against a second signal, a reload or a removed entry that ends a stop too soon."""
+    fleet.publish(routes=list_routes())
+    entry, desk = await fleet.add([("yield", "a"), ("order", "b")])
+
+    async def answer(request: Request) -> Reply | None:
+        await asyncio.sleep(2.5)
+        return desk.upstream.sign(request, body=b"r" * 100_000)
+
+    desk.upstream.answer = answer
+    clients = [KeptClient(fleet, entry) for _ in range(8)]
+    calls = [
+        asyncio.create_task(client.call("/orders/1", "POST", 5_000, b"{}")) for client in clients
+    ]
+    await asyncio.sleep(0.3)
+    stopped = entry if at_entry else desk
+    stop = asyncio.create_task(stopped.stop(signal.SIGTERM))
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+        await asyncio.sleep(0.2)
+        stopped.settings.touch()
+        stopped.send_signal(number)
+        fleet.publish(routes=list_routes())
+    fleet.store.remove(f"servers/{stopped.upstream.instance}")
+    replies = await asyncio.gather(*calls)
+    assert await stop == 0
+    assert [(one.status, len(one.body), one.closes) for one in replies] == [
+        (200, 100_000, False)
+    ] * 8
+
+
 async def call_parts(
     fleet: Fleet, machine: Machine, number: int, sent: list[Sent], until_s: float, timeout_ms: int
 ) -> None:
