Dial links in tasks of the pool, and close links whose dial was cancelled

Cause: the task of a call dialed the link. If the call was cancelled (its deadline, or its client left) after connection_made and the peer's hello, but before the task ran again, uvloop's create_connection closed the transport without connection_lost. The link stayed in the pool as an open one, and every later write to it raised. Besides, calls that waited for the same dial were refused because another call had been cancelled.

Failed before, each time: test_a_link_whose_dial_was_cancelled_can_be_written_to (the same RuntimeError) and test_a_cancelled_call_takes_the_link_from_no_other (refused).

The pool dials in a task of its own, which no caller cancels, and a link whose dial fails or is cancelled is closed explicitly, so that connection_lost follows connection_made in each case. The HTTP client's connections are registered only after their dial, so they can't be left behind.

--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -188,6 +188,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending calls and cancel the served ones."""
+        if self.closed.is_set():
+            return
         self.closed.set()
         self.opened.set()
         pending, self._pending = self._pending, {}
@@ -205,6 +207,16 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self, reason: str) -> None:
+        """Close the link of a failed dial, whose end the event loop may not report.
+
+        uvloop closes the transport of a cancelled connection attempt without calling
+        `connection_lost`, even after `connection_made`.
+        """
+        self.close(reason)
+        if self._transport is not None:
+            self.connection_lost(None)
+
     def finish(self, reason: str) -> None:
         """Close the link after its write buffer has been flushed."""
         self._close_reason = reason
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -71,7 +71,7 @@
             self._listen_context = make_listen_context(material)
         self._clock = clock
         self._links: dict[VmId, Link] = {}
-        self._dialing: dict[VmId, anyio.Event] = {}
+        self._dialing: dict[VmId, asyncio.Task[Link | Refusal]] = {}
         self._redial_backoffs: dict[VmId, _RedialBackoff] = {}
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
@@ -88,6 +88,8 @@
         """Stop listening and close every link after its write buffer has been flushed."""
         if self._server is not None:
             self._server.close()
+        for dialing in self._dialing.values():
+            dialing.cancel()
         for link in [*self._links.values(), *self._accepted]:
             link.finish("the daemon stops")
 
@@ -125,17 +127,16 @@
         if link is not None:
             return link
         dialing = self._dialing.get(vm.vm_id)
-        if dialing is not None:
-            await dialing.wait()
-            return self.find(vm.vm_id) or _refuse("the VM can't be reached")
-        backoff = self._redial_backoffs.get(vm.vm_id)
-        if backoff is not None and self._clock.now_ms() < backoff.not_before_ms:
-            return _refuse("the VM could not be reached a moment ago")
-        self._dialing[vm.vm_id] = anyio.Event()
-        try:
-            return await self._dial(vm)
-        finally:
-            self._dialing.pop(vm.vm_id).set()
+        if dialing is None:
+            backoff = self._redial_backoffs.get(vm.vm_id)
+            if backoff is not None and self._clock.now_ms() < backoff.not_before_ms:
+                return _refuse("the VM could not be reached a moment ago")
+            dialing = asyncio.create_task(self._dial(vm))
+            dialing.add_done_callback(lambda _: self._dialing.pop(vm.vm_id))
+            self._dialing[vm.vm_id] = dialing
+        # others may wait for the same link when a caller is cancelled
+        dialed = await asyncio.shield(dialing)
+        return dialed if isinstance(dialed, Link) else self.find(vm.vm_id) or dialed
 
     def _accept_link(self) -> Link:
         link = Link(self._handler, self._hello, None)
@@ -166,10 +167,13 @@
             if not link.is_open:
                 raise ConnectionAbortedError("the peer closed the link before its hello")
         except (OSError, TimeoutError, ssl.SSLError) as error:
-            link.close("dial failed")
+            link.discard("dial failed")
             self._back_off(vm.vm_id)
             _LOGGER.info("link_failed", extra={"peer": vm.vm_id, "cause": type(error).__name__})
             return _refuse("the VM can't be reached")
+        except BaseException:
+            link.discard("dial cancelled")
+            raise
         self._redial_backoffs.pop(vm.vm_id, None)
         return link
 
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -1,7 +1,10 @@
 """Links between daemons: authentication, malformed frames, lost links, flow control, duplicates."""
 
 import asyncio
+import socket
 import ssl
+import threading
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -21,9 +24,10 @@
     VmId,
 )
 from wisteria_wire import AnswerHead, CallHead, Link, LinkPool, PeerMaterial, ServedCall
-from wisteria_wire.const import WINDOW_BYTES
+from wisteria_wire.codec import encode_hello
+from wisteria_wire.const import PROTOCOL_VERSION, WINDOW_BYTES
 from wisteria_wire.frames import encode_frame
-from wisteria_wire.models import FrameKind
+from wisteria_wire.models import FrameKind, Hello
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
 HOST = "127.0.0.1"
@@ -272,3 +276,104 @@
 def _port_of(pool: LinkPool) -> int:
     assert pool._server is not None
     return int(pool._server.sockets[0].getsockname()[1])
+
+
+def start_peer(vm_id: str) -> Vm:
+    """Start a daemon that says hello at once and then does nothing; return its VM."""
+    listener = socket.create_server((vm_id, 0))
+    hello = encode_frame(FrameKind.HELLO, 0, encode_hello(Hello(PROTOCOL_VERSION, vm_id, 1)))
+
+    def serve() -> None:
+        while True:
+            connection, _ = listener.accept()
+            connection.sendall(hello)
+            threading.Thread(target=connection.recv, args=(1 << 16, socket.MSG_WAITALL)).start()
+
+    threading.Thread(target=serve, daemon=True).start()
+    domain = FailureDomain("north")
+    return Vm(VmId(vm_id), vm_id, listener.getsockname()[1], 0, domain, "yields")
+
+
+def dial_with_late_loop(monkeypatch: pytest.MonkeyPatch, pool: LinkPool, handler: Handler) -> None:
+    """Have the peer's hello wait when a connection is made, as in an event loop that is late."""
+    monkeypatch.setattr("wisteria_wire.link.set_tcp_timeouts", lambda _: time.sleep(0.2))
+    handler.pool = pool
+
+
+def test_a_link_whose_dial_was_cancelled_can_be_written_to(
+    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a daemon that ends by writing to a link that the event loop has closed."""
+
+    async def body() -> None:
+        vm = start_peer("127.0.0.3")
+        tasks: list[asyncio.Task[Link | Refusal]] = []
+
+        class Cancelling(Handler):
+            def handle_link_open(self, link: Link) -> bool:
+                is_added = super().handle_link_open(link)
+                tasks[0].cancel()
+                return is_added
+
+        handler = Cancelling()
+        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
+        dial_with_late_loop(monkeypatch, pool, handler)
+        tasks.append(asyncio.create_task(pool.obtain(vm)))
+        await asyncio.wait(tasks)
+        link = await pool.obtain(vm)
+        assert isinstance(link, Link)
+        link.send_control(1, b"message")
+        assert not isinstance(link.send_call(HEAD)._answer, Refusal)
+        await pool.async_unload()
+
+    run_loop(body)
+
+
+def test_a_cancelled_call_takes_the_link_from_no_other(
+    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against calls that are refused because another call, which dialed, was cancelled."""
+
+    async def body() -> None:
+        vm = start_peer("127.0.0.4")
+        handler = Handler()
+        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
+        dial_with_late_loop(monkeypatch, pool, handler)
+        first = asyncio.create_task(pool.obtain(vm))
+        second = asyncio.create_task(pool.obtain(vm))
+        await asyncio.sleep(0)
+        first.cancel()
+        assert isinstance(await second, Link)
+        await pool.async_unload()
+
+    run_loop(body)
+
+
+def test_a_stop_during_a_dial_leaves_no_open_link(
+    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop that writes to a link that the event loop has closed."""
+
+    async def body() -> None:
+        vm = start_peer("127.0.0.5")
+        links: list[Link] = []
+
+        class Stopping(Handler):
+            def handle_link_open(self, link: Link) -> bool:
+                links.append(link)
+                assert self.pool is not None
+                for dialing in self.pool._dialing.values():
+                    dialing.cancel()
+                return super().handle_link_open(link)
+
+        handler = Stopping()
+        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
+        dial_with_late_loop(monkeypatch, pool, handler)
+        await asyncio.wait([asyncio.create_task(pool.obtain(vm))])
+        (link,) = links
+        assert not link.is_open
+        assert pool.find(vm.vm_id) is None
+        link.send_control(1, b"message")
+        assert handler.closed == ["dial cancelled"]
+
+    run_loop(body)
