--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -79,7 +79,7 @@
             self._listen_context = make_listen_context(material)
         self._clock = clock
         self._links: dict[VmId, Link] = {}
-        self._dialing: dict[VmId, anyio.Event] = {}
+        self._dialing: dict[VmId, asyncio.Task[Link | Refusal]] = {}
         self._redial_backoffs: dict[VmId, _RedialBackoff] = {}
         # includes links that another one to the same peer has superseded
         self._all: set[Link] = set()
@@ -101,6 +101,8 @@
             self._server.close()
         if self._checks is not None:
             self._checks.cancel()
+        for dialing in self._dialing.values():
+            dialing.cancel()
         for link in list(self._all):
             link.finish("the daemon stops")
 
@@ -146,17 +148,16 @@
         if link is not None:
             return link
         dialing = self._dialing.get(vm.vm_id)
-        if dialing is not None:
-            await dialing.wait()
-            return self.find(vm.vm_id) or _refuse("the VM can't be reached")
-        backoff = self._redial_backoffs.get(vm.vm_id)
-        if backoff is not None and self._clock.now_ms() < backoff.not_before_ms:
-            return _refuse("the VM could not be reached a moment ago")
-        self._dialing[vm.vm_id] = anyio.Event()
-        try:
-            return await self._dial(vm)
-        finally:
-            self._dialing.pop(vm.vm_id).set()
+        if dialing is None:
+            backoff = self._redial_backoffs.get(vm.vm_id)
+            if backoff is not None and self._clock.now_ms() < backoff.not_before_ms:
+                return _refuse("the VM could not be reached a moment ago")
+            dialing = asyncio.create_task(self._dial(vm))
+            dialing.add_done_callback(lambda _: self._dialing.pop(vm.vm_id))
+            self._dialing[vm.vm_id] = dialing
+        # others may wait for the same link when a caller is cancelled
+        dialed = await asyncio.shield(dialing)
+        return dialed if isinstance(dialed, Link) else self.find(vm.vm_id) or dialed
 
     def _schedule_checks(self) -> None:
         delay_s = LINK_CHECK_INTERVAL_MS / _MS_PER_S
@@ -199,10 +200,13 @@
                 raise ConnectionAbortedError("the peer closed the link before its hello")
         # ValueError: a host name that can't be resolved, such as one with an empty label
         except (OSError, TimeoutError, ssl.SSLError, ValueError) as error:
-            link.close("dial failed")
+            link.discard("dial failed")
             self._back_off(vm.vm_id)
             _LOGGER.info("link_failed", extra={"peer": vm.vm_id, "cause": type(error).__name__})
             return _refuse("the VM can't be reached")
+        except BaseException:
+            link.discard("dial cancelled")
+            raise
         self._redial_backoffs.pop(vm.vm_id, None)
         return link
 
