--- a/libs/daemon/src/wisteriaproxy/mesh/ranges.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/ranges.py
@@ -3,4 +3,6 @@
 WHOLE_MAX = 2**63 - 1
 """Highest whole number of a control message, whose integers are signed and have 64 bits."""
 COUNT_MAX = 2**16 - 1
-"""Highest number of calls in the head of an answer."""
+"""Highest number of calls in the heads of calls and answers."""
+TIME_MAX_MS = 2**32 - 1
+"""Longest time in the head of a call."""
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -12,6 +12,7 @@
 from wisteriaproxy.mesh.directory import EntryChanges
 from wisteriaproxy.mesh.entries import StorePosition
 from wisteriaproxy.mesh.messages import DocumentAsk
+from wisteriaproxy.mesh.ranges import COUNT_MAX, TIME_MAX_MS
 from wrdsc.decode import decode_document, decode_evacuation, decode_server
 from wrdsc.store import Item, _decode_items
 
@@ -119,6 +120,16 @@
         assert isinstance(encode_control(DocumentAsk(found.document.version)), bytes)
 
 
+def test_limits_of_a_route_fit_into_the_head_of_a_call() -> None:
+    """Guards against a limit that stands for none and fails each call to another VM."""
+    config = make_config()
+    config["routes"][0] |= {"max_attempts": 10**9, "timeout_s": 1e300}
+    found = decode_document(json.dumps(config).encode(), 0.1, ["south"])
+    assert found is not None
+    route = found.document.routes[0]
+    assert (route.retry_allowance, route.deadline_ms) == (COUNT_MAX, TIME_MAX_MS)
+
+
 @seed(35)
 @settings(max_examples=200, deadline=None, database=None)
 @given(st.lists(st.dictionaries(st.sampled_from(["key", "value", "revision"]), VALUES)))
