Close no kept connection on which a request waits to be read

What callers saw: at a planned stop, requests that they had sent on kept connections up to 0.4 s before were reset without an answer, when the daemon's event loop was late.

Cause: a stop closes connections on which no request is in progress. What the kernel had received and the loop had not yet read counted as nothing, so that a whole request could have waited for as long as one iteration of the loop takes.

Evidence: tests/wire/test_http_server.py, the new test failed before for a stop (connection reset); for the idle time-out it passed before as well, as this event loop reads first there.

Why this works: a connection with unread bytes stays open at a stop until they have been read; the request gets an answer, 503 from a stopping daemon, and the connection closes with it. The idle time-out looks again after 50 ms.

--- a/libs/wire/src/wisteria_wire/http_server.py
+++ b/libs/wire/src/wisteria_wire/http_server.py
@@ -19,10 +19,13 @@
     MAX_PIPELINED_REQUESTS,
     MAX_REQUEST_BODY_BYTES,
 )
+from .liveness import has_unread_bytes
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
 _LAST_CHUNK = b"0\r\n\r\n"
+_READ_RETRY_S = 0.05
+"""Time until an expired connection with unread bytes is checked again; a late loop reads first."""
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -192,6 +195,7 @@
         self._pipelined: deque[HttpRequest] = deque()
         self._writable: asyncio.Event | None = None
         self._closing = False
+        self._is_last = False
         self._overhead_bytes = 0
         self._reset()
 
@@ -316,11 +320,12 @@
             self._transport.close()
 
     def close_when_idle(self) -> None:
-        """Close now, or after the response in progress."""
-        if self._current is None:
-            self.close()
-        else:
+        """Close now, or after the response in progress or to what has been received."""
+        self._is_last = True
+        if self._current is not None:
             self._current.keep_alive = False
+        elif not self._has_unread_bytes():
+            self.close()
 
     def abort(self) -> None:
         """Close at once and discard the write buffer."""
@@ -342,9 +347,15 @@
             return
         if self._loop.time() < self._expires_at:
             self._timer = self._loop.call_at(self._expires_at, self._check_expiry)
+        elif self._current is None and self._has_unread_bytes():
+            self._timer = self._loop.call_later(_READ_RETRY_S, self._check_expiry)
         elif self._current is None:
             self.close()
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether a request may wait that a late event loop has not read yet."""
+        return self._transport is not None and has_unread_bytes(self._transport)
+
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[tuple[str, str]] = []
@@ -373,7 +384,8 @@
         method = (
             "GET" if fault is not ResultCode.OK else self._parser.get_method().decode("latin-1")
         )
-        keep_alive = fault is ResultCode.OK and self._parser.should_keep_alive()
+        is_kept = fault is ResultCode.OK and self._parser.should_keep_alive()
+        keep_alive = is_kept and not self._is_last
         exchange = HttpExchange(self, keep_alive, method == "HEAD")
         return HttpRequest(
             method=method,
--- a/libs/wire/src/wisteria_wire/liveness.py
+++ b/libs/wire/src/wisteria_wire/liveness.py
@@ -72,6 +72,15 @@
     return sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
 
+def has_unread_bytes(transport: asyncio.Transport) -> bool:
+    """Return whether the kernel holds received bytes; False where it doesn't tell."""
+    sock = transport.get_extra_info("socket")
+    try:
+        return bool(_INT.unpack(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))[0])
+    except (AttributeError, OSError):
+        return False
+
+
 def count_unacknowledged(transport: asyncio.Transport) -> int:
     """Return the bytes that the process or the kernel holds until the peer acknowledges them.
 
--- a/tests/wire/test_http_server.py
+++ b/tests/wire/test_http_server.py
@@ -1,13 +1,15 @@
 """HTTP server for callers: request smuggling, size limits, pipelining, truncated responses."""
 
 import asyncio
+import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
 from wisteria_core import ResultCode
-from wisteria_wire import HttpRequest, HttpServerConnection
+from wisteria_wire import CallerLimits, HttpRequest, HttpServerConnection
 from wisteria_wire.const import MAX_HEADER_BYTES, MAX_REQUEST_BODY_BYTES
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
@@ -148,3 +150,41 @@
         assert (await exchange(head + chunks)).endswith(b"/a")
 
     run_loop(body)
+
+
+@pytest.mark.parametrize("is_stop", [True, False])
+def test_a_request_that_has_been_received_is_answered_before_its_connection_closes(
+    run_loop: RunLoop, is_stop: bool
+) -> None:
+    """Guards against kept connections closed by a late event loop although a request waits."""
+
+    async def body() -> None:
+        loop = asyncio.get_running_loop()
+        connections: set[HttpServerConnection] = set()
+        server = await loop.create_server(
+            lambda: HttpServerConnection(
+                answer_by_target, connections, lambda: CallerLimits(idle_timeout_ms=200)
+            ),
+            HOST,
+            0,
+        )
+        client = socket.create_connection((HOST, server.sockets[0].getsockname()[1]))
+        client.setblocking(False)
+        await loop.sock_sendall(client, b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert (await loop.sock_recv(client, 1_000)).endswith(b"/a")
+        # the loop does not read before it closes idle connections
+        client.send(b"GET /b HTTP/1.1\r\nhost: x\r\n\r\n")
+        if is_stop:
+            for connection in list(connections):
+                connection.close_when_idle()
+        else:
+            time.sleep(0.3)  # noqa: ASYNC251
+        with anyio.fail_after(2):
+            answer = await loop.sock_recv(client, 1_000)
+            assert answer.endswith(b"/b")
+            assert (b"connection: close" in answer) is is_stop
+            assert await loop.sock_recv(client, 1_000) == b""
+        client.close()
+        server.close()
+
+    run_loop(body)
