--- a/libs/daemon/src/wisteriaproxy/callers.py
+++ b/libs/daemon/src/wisteriaproxy/callers.py
@@ -7,6 +7,7 @@
 
 from wisteria_wire import (
     CALLER_BACKLOG,
+    ByteBudget,
     CallerLimits,
     HttpRequest,
     HttpServerConnection,
@@ -26,9 +27,15 @@
     spawn: Spawner
     tls: TlsSettings | None
     read_limits: Callable[[], CallerLimits] = CallerLimits
+    budget: ByteBudget = attrs.field(factory=ByteBudget)
     _connections: set[HttpServerConnection] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open, or are closed once their write buffer has been flushed."""
+        return len(self._connections)
+
     async def async_setup(self, host: str, port: int) -> int:
         """Start listening; return the port number."""
         context = None
@@ -48,7 +55,9 @@
             connection.close_when_idle()
 
     def _make_connection(self) -> HttpServerConnection:
-        return HttpServerConnection(self._start_request, self._connections, self.read_limits)
+        return HttpServerConnection(
+            self._start_request, self._connections, self.read_limits, self.budget
+        )
 
     def _start_request(self, request: HttpRequest) -> None:
         self.spawn(self.entry.handle, request)
--- a/libs/daemon/src/wisteriaproxy/diagnostics.py
+++ b/libs/daemon/src/wisteriaproxy/diagnostics.py
@@ -19,10 +19,12 @@
     CONCURRENCY_LIMIT,
     CONFIG_AGE,
     CONFIG_VERSION,
+    HELD_BYTES,
     IN_FLIGHT,
     LINK_BYTES,
     LOANS,
     LOOP_GAP,
+    MISDIRECTED_CALLS,
     MS_PER_S,
     PEERS,
     QUEUE_DEPTH,
@@ -98,6 +100,9 @@
         self.shared.control.link_bytes = metrics.counter(LINK_BYTES)
         self.path.serving.backend_calls = metrics.counter(BACKEND_CALLS)
         self.path.entry.forwarder.retry_counts = metrics.counter(RETRIES)
+        misdirected = metrics.counter(MISDIRECTED_CALLS)
+        self.path.serving.misdirected = misdirected
+        self.path.entry.forwarder.misdirected = misdirected
 
     def count_queued(self) -> Series:
         """Count queued calls by priority."""
@@ -148,6 +153,7 @@
     metrics.set_gauge(QUEUE_DEPTH, source.count_queued)
     metrics.set_gauge(CONCURRENCY_LIMIT, gate.limiter.limit)
     metrics.set_gauge(IN_FLIGHT, gate.running)
+    metrics.set_gauge(HELD_BYTES, lambda: float(source.shared.links.budget.held_bytes))
     metrics.set_gauge(CONFIG_VERSION, source.read_config_version)
     metrics.set_gauge(CONFIG_AGE, source.read_config_age)
     metrics.set_gauge(READY, lambda: float(source.check_ready().ready))
--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -21,7 +21,7 @@
 from .forward import Forwarder, ForwardResult, is_failure
 from .identify import Caller
 from .log_budget import CATEGORY_NOT_SERVED, CATEGORY_SUCCESS, has_line_budget
-from .metrics import Metrics
+from .metrics import REQUESTS_UNANSWERED, Metrics
 from .plan import Plan, count_hops, list_parts
 
 _LOGGER = logging.getLogger(__name__)
@@ -30,10 +30,15 @@
 WITHDRAWAL_GRACE_MS = 1_000
 _NO_ROUTE = "none"
 _NO_ACCOUNT = "none"
+_REASON_CALLER = "closed by the caller"
+_REASON_BROKEN_OFF = "broken off"
 
 NO_DOCUMENT = Refusal(
     ResultCode.NOT_READY, "no configuration is in force yet", retry_after_ms=1_000
 )
+NO_MEMORY = Refusal(
+    ResultCode.MEMORY_FULL, "the daemon has no memory for the request", retry_after_ms=500
+)
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the request", RunState.UNKNOWN)
 STOPPING = Refusal(ResultCode.STOPPING, "this daemon is stopping", retry_after_ms=100)
 
@@ -62,6 +67,22 @@
         """Return the outcome of the call; `sent` receives the destination of each attempt."""
 
 
+@attrs.frozen
+class StopTimes:
+    """Times of a stop that bound the calls which are still taken, on the daemon's clock.
+
+    Parameters
+    ----------
+    late_from_ms : int
+        Time from which a call is only taken if its deadline lies before `cut_at_ms`.
+    cut_at_ms : int
+        Time at which the calls in flight are cut off.
+    """
+
+    late_from_ms: int
+    cut_at_ms: int
+
+
 @attrs.define(eq=False)
 class EntryHandler:
     """Handles requests of callers and child calls of the backend server.
@@ -79,6 +100,8 @@
         which knows whether the call ran.
     log_level : int
         Level of the log line that is written at the end of each request.
+    stop_times : StopTimes, optional
+        Bounds for child calls while the daemon is stopping.
     """
 
     dialect: CallerDialect
@@ -91,6 +114,7 @@
     read_document: Callable[[], Document | None]
     check_ready: Callable[[], Refusal | None]
     is_stopping: bool = False
+    stop_times: StopTimes | None = None
     answer_grace_ms: int = 0
     log_level: int = logging.DEBUG
     splitter: TrafficSplitter = attrs.field(factory=TrafficSplitter)
@@ -104,19 +128,24 @@
     async def handle(self, request: HttpRequest) -> None:
         """Serve until answered, or cancelled because the caller disconnected."""
         request_id = self.dialect.read_request_id(request)
+        code = ResultCode.CANCELLED
         try:
-            await self._handle(request, request_id)
+            code = await self._handle(request, request_id)
         except Exception:
+            code = ResultCode.INTERNAL
             _LOGGER.exception("entry_failed", extra={ATTR_REQUEST_ID: request_id})
             self._answer_internal_error(request, request_id)
+        finally:
+            if not request.exchange.is_ended:
+                self._end_unanswered(request, request_id, code)
 
-    async def _handle(self, request: HttpRequest, request_id: str) -> None:
+    async def _handle(self, request: HttpRequest, request_id: str) -> ResultCode:
         started_ms = self.clock.now_ms()
         plan = self._plan(started_ms, request, request_id)
         if isinstance(plan, Refusal):
             self._answer_refusal(request, request_id, plan)
             self._record_end(started_ms, request_id, None, plan.code)
-            return
+            return plan.code
         scope = plan.scope
         scope.deadline = self._scope_deadline(started_ms, plan)
         request.exchange.on_cancel = scope.cancel
@@ -134,6 +163,7 @@
         if scope.cancelled_caught:
             code = self._end_early(plan)
         self._record_end(started_ms, request_id, plan, code)
+        return code
 
     def end_withdrawn(self, document: Document) -> int:
         """Cancel the requests whose key has been withdrawn and return their number.
@@ -164,6 +194,8 @@
     # planning
 
     def _plan(self, now_ms: int, request: HttpRequest, request_id: str) -> Plan | Refusal:
+        if request.fault is ResultCode.MEMORY_FULL:
+            return NO_MEMORY
         if request.fault is not ResultCode.OK:
             return Refusal(request.fault, "the request can't be read as HTTP/1.1 within bounds")
         document = self.read_document()
@@ -184,6 +216,8 @@
         deadline_at_ms = self._read_deadline(now_ms, request, route, caller)
         if isinstance(deadline_at_ms, Refusal):
             return deadline_at_ms
+        if self._would_be_cut(now_ms, deadline_at_ms):
+            return STOPPING
         key = self.dialect.read_idempotency_key(request, route)
         if isinstance(key, Refusal):
             return key
@@ -195,6 +229,13 @@
             request, request_id, route, service, caller, deadline_at_ms, key, document, priority
         )
 
+    def _would_be_cut(self, now_ms: int, deadline_at_ms: int) -> bool:
+        """Return whether a call comes late in a stop and may not be answered before its end."""
+        times = self.stop_times
+        if times is None or now_ms < times.late_from_ms:
+            return False
+        return deadline_at_ms + self.answer_grace_ms > times.cut_at_ms
+
     def _read_deadline(
         self, now_ms: int, request: HttpRequest, route: Route, caller: Caller
     ) -> int | Refusal:
@@ -281,6 +322,7 @@
         forwarded = await router.forward(head, plan.deadline_at_ms, allowance, sent=plan.sent)
         plan.trace.update(
             vm=forwarded.vm_id,
+            instance=forwarded.instance,
             retries=forwarded.retries,
             run=forwarded.head.run_state.value,
             status=forwarded.head.status,
@@ -375,6 +417,24 @@
             return
         self._answer_refusal(request, request_id, INTERNAL)
 
+    def _end_unanswered(self, request: HttpRequest, request_id: str, code: ResultCode) -> None:
+        """Count a request without a complete answer, and close its connection."""
+        if request.exchange.is_cancelled:
+            self.metrics.counter(REQUESTS_UNANSWERED).add((_REASON_CALLER,))
+            return
+        self.metrics.counter(REQUESTS_UNANSWERED).add((_REASON_BROKEN_OFF,))
+        _LOGGER.warning(
+            "request_unanswered",
+            extra={
+                ATTR_REQUEST_ID: request_id,
+                ATTR_CODE: int(code),
+                "started": request.exchange.started,
+                "stopping": self.is_stopping,
+            },
+        )
+        # a caller would otherwise wait on the connection for an answer that never comes
+        request.exchange.abort()
+
     def _end_early(self, plan: Plan) -> ResultCode:
         """End a request after disconnect, deadline, withdrawn key or stop."""
         exchange = plan.request.exchange
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -1,10 +1,12 @@
 """Mesh daemon: builds the components, applies what the platform publishes, shuts down."""
 
 import asyncio
+import errno
 import itertools
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -24,7 +26,7 @@
 from wisteria_core import Clock, FailureDomain, Refusal, ResultCode, VmId, VmList
 from wisteria_limits import SharedRateConfig, SharedRateLimiter
 from wisteria_routing import CrashReport, LoadBalancerConfig, PoisonDetector, SuspicionCleared
-from wisteria_wire import CallerLimits, CallHead, Link, LinkPool, ServedCall
+from wisteria_wire import ByteBudget, CallerLimits, CallHead, Link, LinkPool, ServedCall
 
 from ..audit import AuditTrail
 from ..backend import BackendServer
@@ -33,24 +35,31 @@
 from ..cold_start import ColdStartMonitor
 from ..control.plane import ControlPlane
 from ..crashes import CrashMonitor
-from ..entry import EntryHandler
+from ..entry import EntryHandler, StopTimes
 from ..fleet import FleetView
+from ..flush import wait_flushed
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
 from ..metrics import (
     AUDIT_EVENTS,
+    BACKEND_CALLS,
     CONFIG_VERSION,
+    CONTROL_REFUSED,
+    HELD_BYTES,
     IN_FLIGHT,
     LINK_FAULTS,
     LOOP_GAP,
+    MISDIRECTED_CALLS,
     READY,
+    RETRIES,
+    TASK_FAILURES,
     Metrics,
 )
 from ..responders import LocalCall
 from ..serving import ServingHandler
 from ..settings import SettingsErrors, load_settings_of
-from ..task_keeper import BackgroundTasks
+from ..task_keeper import BackgroundTasks, keep_running
 from .const import (
     ANSWER_GRACE_MS,
     GATE_TICK_MS,
@@ -74,6 +83,15 @@
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+_PORT_RETRY_S = 0.2
+"""Interval at which a port that is in use is tried again: the process before may be ending."""
+_BYTES_PER_MB = 1_048_576
+_BASE_MB = 70
+"""Memory of a daemon that holds no long requests."""
+_COPIES = 3.4
+"""Memory for each byte of a request's body: as it was received, as it is encoded and as it is sent,
+with some fragmentation."""
 _STOP_POLL_S = 0.02
 """Interval at which a stop checks whether calls are in flight; short compared to the grace."""
 _NOT_READY_RETRY_MS = 200
@@ -81,6 +99,11 @@
 _STOP_FRACTION = 0.9
 """Fraction of the grace period after which calls in flight are cancelled, so that the daemon exits
 before the platform ends it."""
+_LATE_FRACTION = 0.45
+"""Fraction of the grace period after which only calls are taken that end before the stop does: the
+platform excuses a call that is cut off if it came in the first half."""
+_FLUSH_FRACTION = 0.97
+"""Fraction of the grace period after which the daemon exits although callers have not read all."""
 LOAD_BALANCER_CONFIG = LoadBalancerConfig(local_load=0.5, explore_share=0.01)
 """Servers of the own failure domain are preferred up to half load, below which no server queues.
 The share of calls sent elsewhere to compare latencies is small, as traffic between failure domains
@@ -140,7 +163,8 @@
                 slack=bounds.rate_slack * OVERAGE_FRACTION,
             ),
         )
-        self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock)
+        self.budget = ByteBudget(_find_budget(settings.bounds.memory_mb))
+        self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock, self.budget)
         self.fleet = FleetView(
             FailureDomain(settings.vm.failure_domain),
             random,
@@ -151,7 +175,12 @@
             load_balancer_config=LOAD_BALANCER_CONFIG,
         )
         self.control = ControlPlane(
-            self.vm_id, self.incarnation, self.links, tasks, self.fleet.find_vm
+            self.vm_id,
+            self.incarnation,
+            self.links,
+            tasks,
+            self.fleet.find_vm,
+            refused=self.metrics.counter(CONTROL_REFUSED),
         )
         self.exchange = ReportExchange(
             self.vm_id,
@@ -192,7 +221,7 @@
             PoisonDetector(self.vm_id, str(self.incarnation)),
             self.backend,
             clock,
-            lambda: self.fleet.list_service_peers(settings.vm.service, self.vm_id),
+            lambda: self.fleet.list_service_peers(self.settings.vm.service, self.vm_id),
             self.control.send,
         )
         self.control.register(crashes.handle_report, CrashReport, SuspicionCleared)
@@ -216,6 +245,10 @@
             crashes=crashes,
             needs_document=False,
             tick_ms=GATE_TICK_MS,
+            read_vm=lambda: self.fleet.find_vm(self.vm_id),
+            needs_process=True,
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
+            backend_calls=self.metrics.counter(BACKEND_CALLS),
         )
         self.cold_start = ColdStartMonitor(
             settings.vm.service,
@@ -230,11 +263,19 @@
         notices = NoticeHandler(self.serving.gate, self.exchange, clock)
         self.backend.on_notice = notices.handle
         forwarder = Forwarder(
-            self.fleet, self.exchange, self.links, clock, random, self.vm_id, self._serve_locally
+            self.fleet,
+            self.exchange,
+            self.links,
+            clock,
+            random,
+            self.vm_id,
+            self._serve_locally,
+            retry_counts=self.metrics.counter(RETRIES),
+            misdirected=self.metrics.counter(MISDIRECTED_CALLS),
         )
         self.entry = EntryHandler(
             dialect=platform.caller_dialect(
-                settings,
+                lambda: self.settings,
                 lambda: self.serving.in_flight > 0,
                 lambda remaining_ms: registry.find_by_deadline(clock.now_ms() + remaining_ms),
             ),
@@ -249,7 +290,9 @@
             answer_grace_ms=ANSWER_GRACE_MS,
             log_level=logging.INFO,
         )
-        self.callers = CallerListener(self.entry, self.call_tasks.spawn, None, self._read_limits)
+        self.callers = CallerListener(
+            self.entry, self.call_tasks.spawn, None, self._read_limits, self.budget
+        )
 
     # LinkHandler
 
@@ -281,8 +324,11 @@
         if document.version <= known:
             return
         now_ms = self.clock.now_ms()
+        had_services = self.published.services if self.published is not None else None
         self.published = published
         self.fleet.apply_document(document)
+        if self.vm_list is not None and published.services != had_services:
+            self.exchange.update_list()
         self.cold_start.apply_document(document)
         self.rate_limiter.apply_rates(now_ms, published.rates)
         ended = 0
@@ -324,10 +370,13 @@
             self.fleet.apply_document(self.published.document)
         self.rate_limiter.set_daemon_count(len(vm_list))
         own = after.get(self.vm_id)
+        is_removed = own is None and (self.vm_id in before or self.serving.is_removed)
+        if is_removed != self.serving.is_removed:
+            self.serving.set_removed(is_removed)
         if own is not None:
             self.cold_start.apply_vm(own)
         if own is not None and own.slots and own.slots != self.serving.gate.slots:
-            self.serving.gate.set_slots(self.clock.now_ms(), own.slots)
+            self.serving.set_slots(own.slots)
         if not before:
             _LOGGER.info("vm_list_read", extra={"vms": len(after)})
             return
@@ -339,27 +388,35 @@
     def _log_vm(vm_id: VmId, after: dict[VmId, Any]) -> None:
         vm = after.get(vm_id)
         state = vm.state.value if vm is not None else "gone"
-        instance = vm.instance if vm is not None else ""
-        _LOGGER.info("vm_changed", extra={"vm": vm_id, "state": state, "instance": instance})
+        extra = {
+            "vm": vm_id,
+            "state": state,
+            "instance": vm.instance if vm is not None else "",
+            "service": vm.service if vm is not None else "",
+        }
+        _LOGGER.info("vm_changed", extra=extra)
 
     # running
 
     async def run(self) -> bool:
         """Run until a stop is requested; return whether every call was finished."""
         listen = self.settings.listen
-        await self.ready_port.async_setup(listen.ready)
-        await self.operator_port.async_setup(listen.operators)
-        await self.links.async_setup(*parse_address(listen.peers))
-        await self.callers.async_setup(*parse_address(listen.callers))
-        for run in (
-            self.gaps.run,
-            self.serving.run_ticks,
-            self.cold_start.run,
-            self.exchange.run,
-            self._watch_settings,
-        ):
-            self.tasks.start_soon(run)
-        self.tasks.start_soon(self._source.run, self)
+        # calls can be served while the port for operators is in use
+        self.tasks.start_soon(self._open_port, self.operator_port.async_setup, listen.operators)
+        await self._open_port(self.ready_port.async_setup, listen.ready)
+        await self._open_port(self.links.async_setup, *parse_address(listen.peers))
+        await self._open_port(self.callers.async_setup, *parse_address(listen.callers))
+        failures = self.metrics.counter(TASK_FAILURES)
+        runs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "gaps": self.gaps.run,
+            "gate": self.serving.run_ticks,
+            "cold_start": self.cold_start.run,
+            "control": self.exchange.run,
+            "settings": self._watch_settings,
+            "source": partial(self._source.run, self),
+        }
+        for name, run in runs.items():
+            self.tasks.start_soon(keep_running, name, run, failures)
         _LOGGER.info(
             "daemon_started",
             extra={
@@ -373,13 +430,35 @@
         self.tasks.cancel_scope.cancel()
         return is_clean
 
+    async def _open_port(self, setup: Callable[..., Awaitable[Any]], *address: Any) -> None:
+        """Start to listen; while the address is in use, try again until the daemon stops."""
+        is_first = True
+        while not self.stopping.is_set():
+            try:
+                await setup(*address)
+                return
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+            if is_first:
+                _LOGGER.warning("port_in_use", extra={"address": ":".join(map(str, address))})
+            is_first = False
+            await anyio.sleep(_PORT_RETRY_S)
+
     async def _finish(self) -> bool:
-        """Refuse new calls, wait for calls in flight, then close everything."""
+        """Refuse new calls, wait for calls in flight and their answers, then close everything."""
+        grace_s = self.settings.bounds.grace_s
+        flush_until_s = anyio.current_time() + grace_s * _FLUSH_FRACTION
+        now_ms = self.clock.now_ms()
+        self.entry.stop_times = StopTimes(
+            late_from_ms=now_ms + round(grace_s * _LATE_FRACTION * _MS_PER_S),
+            cut_at_ms=now_ms + round(grace_s * _STOP_FRACTION * _MS_PER_S),
+        )
         self.entry.is_stopping = True
         self.serving.begin_stop()
         self.exchange.announce_leaving()
         _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
-        with anyio.move_on_after(self.settings.bounds.grace_s * _STOP_FRACTION):
+        with anyio.move_on_after(grace_s * _STOP_FRACTION):
             # calls that run on the backend server may make child calls through this daemon
             await _wait_for_end(lambda: self.serving.in_flight)
             await self.callers.async_unload()
@@ -394,8 +473,10 @@
         self.call_tasks.cancel_all()
         await self.links.async_unload()
         await self.backend.async_unload()
+        left_s = flush_until_s - anyio.current_time()
+        unflushed = await wait_flushed(self.callers, self.links, left_s)
         await self.ready_port.async_unload()
-        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut})
+        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut, "unflushed": unflushed})
         return cut == 0
 
     def start_drain(self) -> None:
@@ -419,6 +500,7 @@
             "cold": self.serving.gate.cold_start.is_cold(now_ms),
             "rates": self.rate_limiter.describe(now_ms),
             "peers": self.exchange.describe(now_ms),
+            "platform": self._source.describe(now_ms),
         }
 
     def reload_settings(self) -> None:
@@ -429,10 +511,21 @@
             return
         if loaded == self.settings:
             return
-        is_log_only = attrs.evolve(loaded, log=self.settings.log) == self.settings
+        before = self.settings
+        vm = attrs.evolve(before.vm, service=loaded.vm.service)
+        is_applied = attrs.evolve(before, log=loaded.log, vm=vm) == loaded
         logging.getLogger(__package__.partition(".")[0]).setLevel(loaded.log.level.upper())
         self.settings = loaded
-        _LOGGER.info("settings_reloaded", extra={"needs_restart": not is_log_only})
+        if loaded.vm.service != before.vm.service:
+            self._apply_service(loaded.vm.service)
+        _LOGGER.info("settings_reloaded", extra={"needs_restart": not is_applied})
+
+    def _apply_service(self, service: str) -> None:
+        """Take over that a backend server of another service runs on this VM."""
+        self.serving.gate.service = service
+        self.cold_start.service = service
+        if self.published is not None:
+            self.cold_start.apply_document(self.published.document)
 
     async def _watch_settings(self) -> None:
         """Poll until cancelled."""
@@ -511,10 +604,16 @@
     def _set_gauges(self) -> None:
         self.metrics.set_gauge(READY, lambda: float(self.is_ready()))
         self.metrics.set_gauge(CONFIG_VERSION, lambda: float(self.exchange.version))
+        self.metrics.set_gauge(HELD_BYTES, lambda: float(self.budget.held_bytes))
         self.metrics.set_gauge(IN_FLIGHT, lambda: float(self.serving.gate.running()))
         self.metrics.set_gauge(LOOP_GAP, lambda: self.gaps.longest_ms / _MS_PER_S)
 
 
+def _find_budget(memory_mb: float) -> int:
+    """Return how many bytes of requests fit into the memory of the process."""
+    return round(max(0.0, memory_mb - _BASE_MB) * _BYTES_PER_MB / _COPIES)
+
+
 async def _wait_for_end(count_calls: Callable[[], int]) -> None:
     """Wait until no call is counted any more."""
     is_busy = True
@@ -547,7 +646,9 @@
 
 async def _watch_signals(daemon: MeshDaemon) -> None:
     """Stop gracefully on SIGTERM and SIGINT; reload settings on SIGHUP."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+    with anyio.open_signal_receiver(*_SIGNALS) as signals:
+        # the program may have blocked signals since its start
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
         async for received in signals:
             if received == signal.SIGHUP:
                 daemon.reload_settings()
--- a/libs/daemon/src/wisteriaproxy/mesh/settings.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/settings.py
@@ -11,6 +11,7 @@
 from ..settings_rules import ADDRESS, TIME, Rule, between, setting, split_address
 from .const import (
     DEFAULT_MAX_CONNECTIONS,
+    DEFAULT_MEMORY_MB,
     DEFAULT_RETRY_RATIO,
     DEFAULT_RETRY_SLACK,
     DEFAULT_SLOTS,
@@ -19,6 +20,7 @@
     DEFAULT_STORE_BACKOFF_MS,
     DEFAULT_STORE_TIMEOUT_MS,
     DEFAULT_WATCH_MS,
+    DEFAULT_WATCH_TIMEOUT_MS,
 )
 
 _MS_PER_S = 1_000
@@ -79,6 +81,11 @@
     grace_s: float = setting(
         "Maximum duration of a planned stop.", _SECONDS, DEFAULT_STOP_LIMIT_MS / _MS_PER_S
     )
+    memory_mb: float = setting(
+        "Memory in MB at which the process is ended; requests that don't fit are refused.",
+        Rule("1 or more", lambda value: value >= 1),
+        DEFAULT_MEMORY_MB,
+    )
     strict_revocation: bool = setting(
         "Whether calls that run are cancelled when their key is withdrawn; queued ones never run.",
         Rule("true or false", lambda value: isinstance(value, bool)),
@@ -115,6 +122,9 @@
     """Time-outs and intervals in milliseconds."""
 
     watch_ms: int = setting("Maximum wait of one watch at the store.", TIME, DEFAULT_WATCH_MS)
+    watch_timeout_ms: int = setting(
+        "Time beyond its wait after which a watch counts as lost.", TIME, DEFAULT_WATCH_TIMEOUT_MS
+    )
     read_timeout_ms: int = setting(
         "Timeout of a request to the store.", TIME, DEFAULT_STORE_TIMEOUT_MS
     )
--- a/libs/daemon/src/wisteriaproxy/mesh/sources.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/sources.py
@@ -31,6 +31,11 @@
     content: bytes
     rates: dict[str, AccountRate]
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of the configured services."""
+        return frozenset(service.name for service in self.document.services)
+
 
 class Listener(Protocol):
     """Receives what the platform publishes."""
@@ -59,6 +64,9 @@
     def set_reading(self, is_reading: bool) -> None:
         """Begin or end to watch; others tell this daemon what changes while it is off."""
 
+    def describe(self, now_ms: int) -> dict[str, object]:
+        """Return when each part of the platform was last read, for operators."""
+
     def decode_document(self, content: bytes) -> PublishedConfig | None:
         """Return the configuration in `content`, or None if it is invalid."""
 
@@ -76,12 +84,13 @@
     make_source : callable
         Returns the source of configuration and list of VMs.
     caller_dialect : callable
-        Returns the HTTP dialect towards callers. Its arguments besides the settings tell whether
-        the backend server is busy, and find the running call with a given remaining time in ms.
+        Returns the HTTP dialect towards callers. Its arguments return the settings in force, tell
+        whether the backend server is busy, and find the running call with a given remaining time
+        in ms.
     backend_dialect : callable
         Returns the HTTP dialect towards the backend server.
     """
 
     make_source: Callable[[MeshSettings, Clock, Metrics], Source]
-    caller_dialect: Callable[[MeshSettings, IsBusy, FindParent], CallerDialect]
+    caller_dialect: Callable[[Callable[[], MeshSettings], IsBusy, FindParent], CallerDialect]
     backend_dialect: Callable[[MeshSettings], BackendDialect]
--- a/libs/daemon/src/wisteriaproxy/metrics.py
+++ b/libs/daemon/src/wisteriaproxy/metrics.py
@@ -50,6 +50,12 @@
 BACKEND_CALLS = Family(
     "backend_calls_total", "counter", "Calls sent to the backend server.", ("outcome",)
 )
+MISDIRECTED_CALLS = Family(
+    "misdirected_calls_total",
+    "counter",
+    "Calls not run because their VM runs another process or service, by where this was found.",
+    ("place",),
+)
 LINK_BYTES = Family(
     "link_bytes_total",
     "counter",
@@ -65,7 +71,31 @@
 AUDIT_EVENTS = Family(
     "audit_events_total", "counter", "Records of the audit trail.", ("kind", "outcome")
 )
+REQUESTS_UNANSWERED = Family(
+    "requests_unanswered_total",
+    "counter",
+    "Requests whose connection ended before a complete answer.",
+    ("reason",),
+)
 LOOP_GAPS = Family("loop_gaps_total", "counter", "Pauses of the process beyond the bound.")
+CONTROL_REFUSED = Family(
+    "control_refused_total",
+    "counter",
+    "Control messages that could not be encoded, decoded or processed.",
+    ("kind", "reason"),
+)
+PLATFORM_REFUSED = Family(
+    "platform_refused_total",
+    "counter",
+    "Items of the platform whose content could not be read.",
+    ("resource",),
+)
+TASK_FAILURES = Family(
+    "task_failures_total",
+    "counter",
+    "Failures of long-running tasks, which were started again.",
+    ("task",),
+)
 LOOP_LATE = Family(
     "loop_late_total", "counter", "Periodic checks that ran half a second late or more."
 )
@@ -73,6 +103,7 @@
 QUEUE_DEPTH = Family("queue_depth_calls", "gauge", "Calls that wait.", ("priority",))
 CONCURRENCY_LIMIT = Family("concurrency_limit_calls", "gauge", "Limit of the calls in flight.")
 IN_FLIGHT = Family("in_flight_calls", "gauge", "Calls at the backend server.")
+HELD_BYTES = Family("held_bytes", "gauge", "Bytes of requests that are held in memory.")
 CONFIG_VERSION = Family("config_version", "gauge", "Version of the document in force.")
 CONFIG_AGE = Family("config_age_seconds", "gauge", "Time since the version was last confirmed.")
 READY = Family("ready", "gauge", "1 when the daemon takes calls.")
@@ -85,17 +116,23 @@
     CALLS,
     RETRIES,
     BACKEND_CALLS,
+    MISDIRECTED_CALLS,
     LINK_BYTES,
     LINK_FAULTS,
     PLATFORM_READS,
     AUDIT_EVENTS,
+    REQUESTS_UNANSWERED,
     LOOP_GAPS,
+    CONTROL_REFUSED,
+    PLATFORM_REFUSED,
+    TASK_FAILURES,
     LOOP_LATE,
 )
 GAUGES = (
     QUEUE_DEPTH,
     CONCURRENCY_LIMIT,
     IN_FLIGHT,
+    HELD_BYTES,
     CONFIG_VERSION,
     CONFIG_AGE,
     READY,
--- a/libs/daemon/src/wisteriaproxy/parts.py
+++ b/libs/daemon/src/wisteriaproxy/parts.py
@@ -248,6 +248,7 @@
         read_document=lambda: shared.configuration.document,
         check_ready=check_ready,
         crashes=crashes,
+        read_vm=lambda: shared.fleet.find_vm(context.vm_id),
     )
     cold_start = ColdStartMonitor(settings.vm.service, serving, backend, clock)
     serving.on_wait = cold_start.request_check
@@ -297,7 +298,9 @@
         cold_start=cold_start,
         at_most_once=at_most_once,
         entry=entry,
-        callers=CallerListener(entry, context.tasks.start_soon, settings.tls),
+        callers=CallerListener(
+            entry, context.tasks.start_soon, settings.tls, budget=shared.links.budget
+        ),
     )
 
 
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -20,7 +20,7 @@
     Ticket,
 )
 from wisteria_config import Document
-from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState
+from wisteria_core import Clock, Priority, Refusal, ResultCode, RunState, Vm
 from wisteria_wire import (
     CONNECT_FAILED,
     INLINE_BODY_BYTES,
@@ -35,7 +35,7 @@
 from .calls import CallRegistry, RunningCall
 from .const import ATTR_CODE, ATTR_REQUEST_ID
 from .crashes import CrashMonitor
-from .metrics import BACKEND_CALLS, Counts
+from .metrics import BACKEND_CALLS, MISDIRECTED_CALLS, Counts
 from .responders import Responder
 
 _LOGGER = logging.getLogger(__name__)
@@ -50,9 +50,18 @@
 SERVER_LEAVING = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
 )
+OTHER_SERVICE = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the VM runs another service", RunState.NOT_RUN
+)
+NO_PROCESS_NAMED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the call names no process", RunState.NOT_RUN
+)
 EVACUATED = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
 )
+REMOVED = Refusal(
+    ResultCode.BACKEND_SERVER_LEAVING, "the backend server is not listed any more", RunState.NOT_RUN
+)
 FAILING = Refusal(
     ResultCode.BACKEND_SERVER_FAILED,
     "the backend server has failed its last calls",
@@ -109,8 +118,15 @@
         Whether the backend server is leaving, while the daemon may stay.
     is_evacuated : bool
         Whether operators have evacuated the failure domain of this VM.
+    is_removed : bool
+        Whether the backend server is missing from the list of VMs after it was on it.
     breaker : CircuitBreaker
         Refuses calls, except for probes, while the backend server fails all of them.
+    read_vm : callable
+        Returns what the list of VMs names on this VM, or None if it doesn't name it.
+    needs_process : bool
+        Whether calls that name no process are refused, because the platform reports processes
+        and may give the address of this VM to another service.
     on_wait : callable
         Called when a call has to wait, or is refused for want of room.
     """
@@ -128,8 +144,12 @@
     is_stopping: bool = False
     is_draining: bool = False
     is_evacuated: bool = False
+    is_removed: bool = False
     on_wait: Callable[[], None] = lambda: None
     breaker: CircuitBreaker = attrs.field(factory=CircuitBreaker)
+    read_vm: Callable[[], Vm | None] = lambda: None
+    needs_process: bool = False
+    misdirected: Counts = attrs.field(factory=lambda: Counts(MISDIRECTED_CALLS))
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
     _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
     _next_id: int = 0
@@ -230,6 +250,20 @@
             # servers of an evacuated domain may have become cold
             self.gate.cold_start.note_restart()
 
+    def set_removed(self, is_removed: bool) -> None:
+        """Refuse new and queued calls while the backend server isn't listed; running ones continue.
+
+        A server may leave without an announcement. Unlike one, a removal can be taken back, so the
+        answers don't say that the server is leaving.
+        """
+        self.is_removed = is_removed
+        if is_removed:
+            self._apply_actions(self.gate.drain(self.clock.now_ms(), REMOVED))
+
+    def set_slots(self, slots: int) -> None:
+        """Change the number of slots of the backend server and start the calls that now fit."""
+        self._apply_actions(self.gate.set_slots(self.clock.now_ms(), slots))
+
     def start_queued(self) -> None:
         """Start queued calls that need not wait any more."""
         self._apply_actions(self.gate.tick(self.clock.now_ms()))
@@ -237,9 +271,10 @@
     async def _serve_within(self, call_id: int, served: _ServedCall) -> None:
         refusal = self.check(served.head) or await self._admit(call_id, served)
         if refusal is None:
-            # a key may have been withdrawn while the call was queued
+            # the process may have been replaced, or a key withdrawn, while the call was queued
             refusal = (
-                self._check_key(served.head)
+                self._check_process(served.head)
+                or self._check_key(served.head)
                 or self._check_breaker()
                 or self.crashes.start(call_id, served.head)
             )
@@ -262,6 +297,7 @@
             ATTR_REQUEST_ID: head.request_id,
             ATTR_CODE: int(refusal.code),
             "reason": refusal.reason,
+            "service": head.service,
             "instance": head.instance,
             "rank": head.rank,
             "time_ms": head.remaining_ms,
@@ -269,13 +305,45 @@
         }
         _LOGGER.info("call_refused", extra=extra)
 
+    def _note_other_process(self, head: CallHead) -> None:
+        """Count and log a call that the backend server rejected because it names another one."""
+        self.misdirected.add(("server",))
+        vm = self.read_vm()
+        extra = {
+            ATTR_REQUEST_ID: head.request_id,
+            "service": head.service,
+            "instance": head.instance,
+            "listed_service": vm.service if vm is not None else None,
+            "listed_instance": vm.instance if vm is not None else None,
+        }
+        _LOGGER.info("call_misdirected", extra=extra)
+
     def check(self, head: CallHead) -> Refusal | None:
         """Return the refusal of a call that may not be served now, or None."""
         if self.is_leaving:
             return SERVER_LEAVING
         if self.is_evacuated:
             return EVACUATED
-        return self._check_key(head)
+        if self.is_removed:
+            return REMOVED
+        return self._check_process(head) or self._check_key(head)
+
+    def _check_process(self, head: CallHead) -> Refusal | None:
+        """Return the refusal of a call that the process on this VM must not run, or None."""
+        refusal = self._find_mismatch(head)
+        if refusal is not None:
+            self.misdirected.add(("daemon",))
+        return refusal
+
+    def _find_mismatch(self, head: CallHead) -> Refusal | None:
+        if self.needs_process and not head.instance:
+            return NO_PROCESS_NAMED
+        vm = self.read_vm()
+        if vm is None or vm.service == head.service:
+            return None
+        # the list of the entry daemon may be the newer one; the process itself rejects a call
+        # that names another one
+        return OTHER_SERVICE if head.instance == vm.instance else None
 
     def _check_key(self, head: CallHead) -> Refusal | None:
         not_ready = self.check_ready()
@@ -358,12 +426,17 @@
         elif not isinstance(http_call, Refusal):
             self.gate.cold_start.note_answer(self.clock.now_ms())
         if isinstance(http_call, Refusal):
+            is_replaced = http_call.code is ResultCode.NO_BACKEND_SERVER
+            if is_replaced:
+                self._note_other_process(served.head)
             served.outcome = Outcome.ERROR
             if http_call.run_state is not RunState.NOT_RUN:
                 self.breaker.note_failure(self.clock.now_ms())
                 await self.crashes.check_for_crash()
-            head = refusal_to_head(http_call, call.count_spent())
-            served.responder.send_answer(self._add_load(head, served.head, call))
+            head = self._add_load(refusal_to_head(http_call, call.count_spent()), served.head, call)
+            # to the entry daemon, a process that was replaced is one that has left
+            is_leaving = head.server_leaving or is_replaced
+            served.responder.send_answer(attrs.evolve(head, server_leaving=is_leaving))
             return
         try:
             await self._relay_answer(served, call, http_call)
--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -9,6 +9,7 @@
 
 from wisteria_core import Clock, Refusal, ResultCode, RunState, Vm, VmId
 
+from .budget import ByteBudget
 from .const import (
     DEFAULT_DIAL_TIMEOUT_MS,
     DEFAULT_HELLO_TIMEOUT_MS,
@@ -50,6 +51,8 @@
         plain TCP and a peer is identified by its IP address alone, which must be its VM id.
     clock : Clock
         Source of milliseconds.
+    budget : ByteBudget, optional
+        Memory for long calls of all peers.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         incarnation: int,
         material: PeerMaterial | None,
         clock: Clock,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self.budget = budget or ByteBudget()
         self._handler = handler
         self._hello = Hello(PROTOCOL_VERSION, vm_id, incarnation)
         # without certificates the peer identifies this VM by the source address
@@ -73,7 +78,8 @@
         self._links: dict[VmId, Link] = {}
         self._dialing: dict[VmId, asyncio.Task[Link | Refusal]] = {}
         self._redial_backoffs: dict[VmId, _RedialBackoff] = {}
-        self._accepted: set[Link] = set()
+        # includes links that another one to the same peer has superseded
+        self._all: set[Link] = set()
         self._server: asyncio.Server | None = None
 
     async def async_setup(self, host: str, port: int) -> int:
@@ -90,9 +96,17 @@
             self._server.close()
         for dialing in self._dialing.values():
             dialing.cancel()
-        for link in [*self._links.values(), *self._accepted]:
+        for link in list(self._all):
             link.finish("the daemon stops")
 
+    def count_unflushed(self) -> int:
+        """Return the links whose peers have not acknowledged all that was written."""
+        return sum(1 for link in self._all if not link.is_flushed)
+
+    def count_unclosed(self) -> int:
+        """Return the links that neither side has closed completely."""
+        return sum(1 for link in self._all if not link.closed.is_set())
+
     def find(self, vm_id: VmId) -> Link | None:
         """Return the open link to a peer, dialed or accepted, or None."""
         link = self._links.get(vm_id)
@@ -104,7 +118,7 @@
 
     def count_bytes(self) -> tuple[int, int]:
         """Return the bytes sent and received over the current links."""
-        links = {*self._links.values(), *self._accepted}
+        links = self._all
         return sum(one.sent_bytes for one in links), sum(one.received_bytes for one in links)
 
     def add(self, link: Link) -> None:
@@ -115,7 +129,7 @@
             self._links[link.peer.vm_id] = link
 
     def remove(self, link: Link) -> None:
-        self._accepted.discard(link)
+        self._all.discard(link)
         if link.peer is None:
             return
         if self._links.get(link.peer.vm_id) is link:
@@ -139,8 +153,8 @@
         return dialed if isinstance(dialed, Link) else self.find(vm.vm_id) or dialed
 
     def _accept_link(self) -> Link:
-        link = Link(self._handler, self._hello, None)
-        self._accepted.add(link)
+        link = Link(self._handler, self._hello, None, self.budget)
+        self._all.add(link)
         asyncio.get_running_loop().call_later(
             DEFAULT_HELLO_TIMEOUT_MS / _MS_PER_S, self._close_without_hello, link
         )
@@ -152,7 +166,7 @@
 
     async def _dial(self, vm: Vm) -> Link | Refusal:
         loop = asyncio.get_running_loop()
-        link = Link(self._handler, self._hello, vm.vm_id)
+        link = Link(self._handler, self._hello, vm.vm_id, self.budget)
         try:
             with anyio.fail_after(DEFAULT_DIAL_TIMEOUT_MS / _MS_PER_S):
                 await loop.create_connection(
@@ -163,20 +177,27 @@
                     local_addr=self._local_addr,
                     server_hostname=vm.host if self._dial_context is not None else None,
                 )
+                self._all.add(link)
                 await link.opened.wait()
             if not link.is_open:
                 raise ConnectionAbortedError("the peer closed the link before its hello")
-        except (OSError, TimeoutError, ssl.SSLError) as error:
-            link.discard("dial failed")
+        # ValueError: a host name that can't be resolved, such as one with an empty label
+        except (OSError, TimeoutError, ssl.SSLError, ValueError) as error:
+            self._discard(link, "dial failed")
             self._back_off(vm.vm_id)
             _LOGGER.info("link_failed", extra={"peer": vm.vm_id, "cause": type(error).__name__})
             return _refuse("the VM can't be reached")
         except BaseException:
-            link.discard("dial cancelled")
+            self._discard(link, "dial cancelled")
             raise
         self._redial_backoffs.pop(vm.vm_id, None)
         return link
 
+    def _discard(self, link: Link, reason: str) -> None:
+        link.discard(reason)
+        # it may have been closed before it was added
+        self._all.discard(link)
+
     def _back_off(self, vm_id: VmId) -> None:
         last = self._redial_backoffs.get(vm_id)
         backoff_ms = (
