--- a/tests/processes/soak/checker.py
+++ b/tests/processes/soak/checker.py
@@ -27,6 +27,8 @@
 LOST_LIMIT = 3
 HELD_S = 0.5
 MEMORY_MB = 300
+OWN_END_S = 1.0
+"""Time after a disruption of a machine in which the end of its process is put down to it."""
 _PROMISES = (408, 421, 429, 503)
 _CONFIG_STATUSES = (401, 403, 404)
 
@@ -88,6 +90,16 @@
             for found in self.record.disruptions
         )
 
+    def _is_disturbed(self, host: str, at_s: float) -> bool:
+        """Return whether a machine itself was disturbed, or started, up to a second ago."""
+        starts = [start_s for name, start_s in self.record.starts if name == host]
+        return any(start_s <= at_s <= start_s + OWN_END_S for start_s in starts) or any(
+            found.hosts is not None
+            and host in found.hosts
+            and found.start_s <= at_s <= found.end_s + OWN_END_S
+            for found in self.record.disruptions
+        )
+
     def _is_store_stable(self, at_s: float) -> bool:
         return self.is_in_touch("", at_s, at_s)
 
@@ -114,6 +126,8 @@
 
     def _check_ends(self) -> Iterator[Case]:
         for host, at_s, code in self.record.ends:
+            if self._is_disturbed(host, at_s):
+                continue
             yield Case("FAULT", at_s, f"process of {host} ended by itself: {code}", host=host)
         for kind, at_s in self.record.unready:
             yield Case("FAULT", at_s, f"a daemon is not ready long after {kind}")
--- a/tests/processes/test_checker.py
+++ b/tests/processes/test_checker.py
@@ -147,3 +147,8 @@
     record.ends = [(HOST, 5.0, 1)]
     record.memory_mb = {HOST: 301.0}
     assert list_rules(record) == ["FAULT", "FAULT"]
+    record.disruptions = [Disruption("kill", frozenset(("127.0.0.2",)), 3.0, 4.5)]
+    record.starts = [(HOST, 3.5)]
+    assert list_rules(record) == ["FAULT", "FAULT"]
+    record.starts = [(HOST, 4.5)]
+    assert list_rules(record) == ["FAULT"]
