--- a/libs/wire/src/wisteria_wire/pool.py
+++ b/libs/wire/src/wisteria_wire/pool.py
@@ -200,16 +200,21 @@
                 raise ConnectionAbortedError("the peer closed the link before its hello")
         # ValueError: a host name that can't be resolved, such as one with an empty label
         except (OSError, TimeoutError, ssl.SSLError, ValueError) as error:
-            link.discard("dial failed")
+            self._discard(link, "dial failed")
             self._back_off(vm.vm_id)
             _LOGGER.info("link_failed", extra={"peer": vm.vm_id, "cause": type(error).__name__})
             return _refuse("the VM can't be reached")
         except BaseException:
-            link.discard("dial cancelled")
+            self._discard(link, "dial cancelled")
             raise
         self._redial_backoffs.pop(vm.vm_id, None)
         return link
 
+    def _discard(self, link: Link, reason: str) -> None:
+        link.discard(reason)
+        # it may have been closed before it was added
+        self._all.discard(link)
+
     def _back_off(self, vm_id: VmId) -> None:
         last = self._redial_backoffs.get(vm_id)
         backoff_ms = (
