--- a/tests/processes/soak/__main__.py
+++ b/tests/processes/soak/__main__.py
@@ -37,23 +37,22 @@
         task.cancel()
         world.load = 1e-9
         await asyncio.sleep(2.5)
-        ended = _collect_ends(world)
+        _collect_ends(world)
         cases = Checker(world.record).check()
         for case in _select(cases):
             _print_case(world, case)
         if options.logs:
             shutil.copytree(world.fleet.folder, options.logs)
-        print(json.dumps(_summarize(world, disruptor, cases, options.seed, ended)))
+        print(json.dumps(_summarize(world, disruptor, cases, options.seed)))
         return not cases
     finally:
         await world.async_unload()
 
 
-def _collect_ends(world: World) -> int:
+def _collect_ends(world: World) -> None:
     for machine in world.fleet.machines:
         for code, at_s in zip(machine.ends, machine.ended_s, strict=True):
             world.record.ends.append((machine.host, at_s, code))
-    return len(world.record.ends)
 
 
 def _select(cases: list[Case]) -> list[Case]:
@@ -110,7 +109,7 @@
 
 
 def _summarize(
-    world: World, disruptor: Disruptor, cases: list[Case], seed: int, ended: int
+    world: World, disruptor: Disruptor, cases: list[Case], seed: int
 ) -> dict[str, object]:
     record = world.record
     ends = Counter(f"{s.end}-{s.status}" if s.status else s.end for s in record.samples)
@@ -124,7 +123,7 @@
         "outcomes": dict(ends.most_common()),
         "disruptions": disruptor.played,
         "late": len(late),
-        "ended": ended,
+        "ended": [f"{host} {code}" for host, _, code in record.ends],
         "memory_mb": round(max(record.memory_mb.values(), default=0.0)),
         "broken": dict(Counter(case.rule for case in cases)),
     }
