--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from .links import LinkedFleet
 from .support import Fleet
 
 
@@ -19,3 +20,12 @@
     await fleet.async_setup()
     yield fleet
     await fleet.async_unload()
+
+
+@pytest.fixture
+async def linked_fleet() -> AsyncIterator[LinkedFleet]:
+    """Return a fleet whose links between daemons can go silent."""
+    fleet = LinkedFleet()
+    await fleet.async_setup()
+    yield fleet
+    await fleet.async_unload()
