Log what the platform's adapter tells, also below the level of warnings

Cause: the handler set the level for the project's packages only; the adapter's lines, of a package of its own, fell under the root's level, warning.

--- a/libs/daemon/src/wisteriaproxy/logs.py
+++ b/libs/daemon/src/wisteriaproxy/logs.py
@@ -170,8 +170,14 @@
     install_handler(settings, make_handler(settings, stream))
 
 
-def install_handler(settings: LogSettings, handler: logging.Handler) -> None:
-    """Send log lines of the daemon's libraries, and warnings of others, to a handler."""
+def install_handler(settings: LogSettings, handler: logging.Handler, *packages: str) -> None:
+    """Send log lines of the daemon's libraries, and warnings of others, to a handler.
+
+    Parameters
+    ----------
+    packages : str
+        Further packages, such as a platform's adapter, whose lines are sent as the libraries' are.
+    """
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
@@ -183,5 +189,5 @@
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
-    for name in (DOMAIN, *LIBRARIES):
+    for name in (DOMAIN, *LIBRARIES, *packages):
         logging.getLogger(name).setLevel(settings.level.upper())
