Tie the mark of a leaving process to the process that the list names

What callers saw: 503 for every call to a service, and calls that went to no sound server, after a backend server had been replaced at its address by another one of its service.

Cause: a queued call for the process before is rejected with 421 by its successor; the mark "has left" came after the list had named the successor, and counted for the address until the list changed again.

test_a_late_rejection_for_the_process_before_takes_no_other_out failed before: [503, 503, 503] in place of [200, 200, 200]. A mark for a process that the list has replaced by one that started later is ignored now.

--- a/libs/daemon/src/wisteriaproxy/mesh/news.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/news.py
@@ -152,10 +152,20 @@
         self._note_process_leaving(self.vm_id, instance, started_ms)
 
     def _note_process_leaving(self, vm_id: VmId, instance: str, started_ms: int) -> None:
+        if self._is_replaced(vm_id, instance, started_ms):
+            return
         if self.leaving_servers.note_leaving(vm_id, instance, started_ms):
             _LOGGER.info("backend_server_leaving", extra={"vm": vm_id, "instance": instance})
             self.on_change()
 
+    def _is_replaced(self, vm_id: VmId, instance: str, started_ms: int) -> bool:
+        """Return whether the list names a process on the VM that came after the given one."""
+        vm_list = self.read_vm_list()
+        listed = vm_list.find(vm_id) if vm_list is not None else None
+        if listed is None or (listed.instance, listed.started_ms) == (instance, started_ms):
+            return False
+        return listed.started_ms >= started_ms
+
     def update_list(self) -> None:
         """Make the list of VMs anew, from the entries and the services that are known now."""
         published = self.read_published()
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -260,3 +260,27 @@
     await wait_until(lambda: daemon.exchange.version == 2)
     await anyio.sleep(0.5)
     assert len(daemon.vm_list or ()) == 1
+
+
+async def test_a_late_rejection_for_the_process_before_takes_no_other_out(mesh: Mesh) -> None:
+    """Guards against a process that gets no calls since a queued call named the one before it."""
+    routes = [
+        make_route("yields", "/yields/", "idempotent") | {"timeout_s": 9},
+        {**make_route("parts", "/parts/", "idempotent"), "public": True},
+    ]
+    mesh.publish(make_config(routes=routes))
+    (node,) = await mesh.add_ready(1)
+    mesh.register(node, slots=1, sequence=2)
+    daemon = node.daemon
+    await wait_until(lambda: daemon.serving.gate.slots == 1)
+    released = hold_answers(node)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(3):
+            tasks.start_soon(mesh.call, node, "/yields/1", "GET", 5_000)
+        await wait_until(lambda: daemon.serving.gate.queued() == 2)
+        node.upstream.instance = "i-next"
+        mesh.register(node, slots=1, sequence=1, born=1_700_000_009_000)
+        await wait_until(lambda: [vm.instance for vm in daemon.vm_list or ()] == ["i-next"])
+        released.set()
+    node.upstream.answer = None
+    assert [(await mesh.call(node, "/parts/1")).status for _ in range(3)] == [200] * 3
