Release and bound the memory that links hold

Cause: the bytes reserved for a call frame that no call was made of were never released; and the bytes written to a link count towards no budget once their call has ended.

A link with more than 16 MB to send now takes no calls, which move on as not run.

--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -7,6 +7,8 @@
 """Largest payload: a call with the largest body that a configuration may allow, 64 MiB."""
 RESERVED_FRAME_BYTES = 131_072
 """Size of a call from which its payload needs room in the budget."""
+MAX_UNSENT_BYTES = 16_000_000
+"""Bytes that wait to be sent on a link above which it takes no more calls."""
 CHUNK_BYTES = 65_536
 WINDOW_BYTES = 262_144
 CREDIT_THRESHOLD_BYTES = 65_536
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -23,6 +23,7 @@
 )
 from .const import (
     FRAME_HEADER_BYTES,
+    MAX_UNSENT_BYTES,
     PROTOCOL_VERSION,
     RESERVED_FRAME_BYTES,
     WINDOW_BYTES,
@@ -43,6 +44,7 @@
     complete=True,
 )
 LINK_LOST = Refusal(ResultCode.LINK_LOST, "the link to the daemon was lost", RunState.UNKNOWN)
+CONGESTED = Refusal(ResultCode.LINK_LOST, "the link to the daemon is congested", RunState.NOT_RUN)
 
 
 class LinkHandler(Protocol):
@@ -201,6 +203,12 @@
         """Whether the peer is authenticated and the transport is connected."""
         return self.peer is not None and not self.closed.is_set() and not self._is_finishing
 
+    @property
+    def _is_congested(self) -> bool:
+        """Whether the peer reads more slowly than this daemon writes, by a lot of memory."""
+        assert self._transport is not None
+        return self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES
+
     @property
     def is_flushed(self) -> bool:
         """Whether the peer has acknowledged all that was written, or is gone."""
@@ -222,7 +230,8 @@
         self._has_told = False
         if self._is_finishing:
             return
-        for frame in self._reader.feed(data):
+        frames = self._reader.feed(data)
+        for index, frame in enumerate(frames):
             fault = self._handle_frame(frame)
             if fault is not None:
                 self.close(fault.value)
@@ -233,6 +242,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending calls and cancel the served ones."""
         if self.closed.is_set():
+                for dropped in frames[index + 1 :]:
+                    self._budget.release(dropped.reserved_bytes)
             return
         self.closed.set()
         self.opened.set()
@@ -304,6 +315,9 @@
                 Refusal(ResultCode.LINK_LOST, "the link to the daemon is down", RunState.NOT_RUN)
             )
             return call
+        if self._is_congested:
+            call.settle(CONGESTED)
+            return call
         self._pending[call_id] = call
         if len(head.body) < RESERVED_FRAME_BYTES:
             self.send_frame(FrameKind.CALL, call_id, encode_call(head))
@@ -380,6 +394,7 @@
             self.close("refused")
         return None
 
+            self._budget.release(frame.reserved_bytes)
     def _is_claimed_identity_valid(self, hello: Hello) -> bool:
         if self._expected_vm is not None and hello.vm_id != self._expected_vm:
             return False
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -1,6 +1,7 @@
 """Links between daemons: authentication, malformed frames, lost links, flow control, duplicates."""
 
 import asyncio
+import contextlib
 import socket
 import ssl
 import threading
@@ -23,10 +24,11 @@
     Vm,
     VmId,
 )
-from wisteria_wire import AnswerHead, CallHead, Link, LinkPool, PeerMaterial, ServedCall
+from wisteria_wire import AnswerHead, ByteBudget, CallHead, Link, LinkPool, PeerMaterial, ServedCall
 from wisteria_wire.codec import encode_hello
-from wisteria_wire.const import PROTOCOL_VERSION, WINDOW_BYTES
+from wisteria_wire.const import MAX_UNSENT_BYTES, PROTOCOL_VERSION, WINDOW_BYTES
 from wisteria_wire.frames import encode_frame
+from wisteria_wire.link import CONGESTED
 from wisteria_wire.models import FrameKind, Hello
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
@@ -398,3 +400,47 @@
         assert handler.closed == ["dial cancelled"]
 
     run_loop(body)
+
+
+def test_memory_of_calls_before_the_hello_is_released(fixture: Fixture, run_loop: RunLoop) -> None:
+    """Guards against strangers that keep memory reserved until the daemon refuses every body."""
+
+    async def body() -> None:
+        budget = ByteBudget(1_000_000)
+        pool = LinkPool(Handler(), VmId("127.0.0.1"), 1, None, Clock(), budget)
+        port = await pool.async_setup("127.0.0.1", 0)
+        frame = encode_frame(FrameKind.CALL, 1, bytes(200_000))
+        for sent in (frame, frame + frame):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(sent)
+            with contextlib.suppress(OSError):
+                await reader.read()
+            writer.close()
+        assert budget.held_bytes == 0
+        await pool.async_unload()
+
+    run_loop(body)
+
+
+def test_a_link_whose_peer_does_not_read_takes_no_more_calls(run_loop: RunLoop) -> None:
+    """Guards against calls that have ended and whose bytes fill the memory of the daemon."""
+
+    async def body() -> None:
+        vm = start_peer("127.0.0.6")
+        handler = Handler()
+        handler.pool = pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
+        link = await pool.obtain(vm)
+        assert isinstance(link, Link)
+        head = attrs.evolve(HEAD, body=bytes(1_000_000))
+        answers = []
+        for _ in range(40):
+            call = link.send_call(head)
+            answers.append(call._answer)
+            call.cancel()
+        assert answers[0] is None
+        assert answers[-1] is CONGESTED
+        assert sum(answer is None for answer in answers) <= MAX_UNSENT_BYTES / 1_000_000 + 10
+        link.close("done")
+        await pool.async_unload()
+
+    run_loop(body)
