Keep links to peers that are busy, or read a long request

Cause: three unanswered probes closed a link, and a probe that waited behind other bytes counted as unanswered.

test_a_probe_that_is_still_on_its_way_is_not_unanswered covers the second form (LinkLiveness knew of no bytes on their way before).

--- a/libs/wire/src/wisteria_wire/const.py
+++ b/libs/wire/src/wisteria_wire/const.py
@@ -42,7 +42,7 @@
 """Interval of checking that peers still send anything."""
 IDLE_PROBES_PER_CHECK = 20
 """Idle links that are probed in one interval, which bounds the cost in a large fleet."""
-MAX_UNANSWERED_PROBES = 3
+MAX_UNANSWERED_PROBES = 4
 """Probes without an answer after which a link counts as silent: more time than the event loop of a
 busy peer takes, and less than TCP needs to give up a peer that is cut off."""
 
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -334,8 +334,12 @@
         """Probe a quiet peer, and close the link if it stays silent."""
         if self.peer is None or not self.peer.answers_probes or not self.is_open:
             return
+        assert self._transport is not None
         is_waiting = bool(self._pending) or self._has_told
-        match self._liveness.check(is_waiting=is_waiting, idle_checks=idle_checks):
+        is_sending = self._liveness.is_probing and count_unacknowledged(self._transport) > 0
+        match self._liveness.check(
+            is_waiting=is_waiting, is_sending=is_sending, idle_checks=idle_checks
+        ):
             case LivenessAction.PROBE:
                 self.send_frame(FrameKind.PROBE, 0, b"")
             case LivenessAction.CLOSE:
--- a/libs/wire/src/wisteria_wire/liveness.py
+++ b/libs/wire/src/wisteria_wire/liveness.py
@@ -39,11 +39,18 @@
     _quiet_checks: int = 0
     _unanswered: int = 0
 
+    @property
+    def is_probing(self) -> bool:
+        """Whether a probe is unanswered."""
+        return self._unanswered > 0
+
     def note_received(self) -> None:
         self._quiet_checks = -1
         self._unanswered = 0
 
-    def check(self, *, is_waiting: bool, idle_checks: int) -> LivenessAction:
+    def check(
+        self, *, is_waiting: bool, idle_checks: int, is_sending: bool = False
+    ) -> LivenessAction:
         """Return what to do with a link.
 
         Parameters
@@ -52,10 +59,15 @@
             Whether anything was sent that the peer may not have got.
         idle_checks : int
             Checks without a received byte after which a link is probed also if it is not waiting.
+        is_sending : bool
+            Whether the peer has not acknowledged all bytes: a probe waits behind them, and TCP
+            notices if they make no progress.
         """
         self._quiet_checks += 1
         if self._quiet_checks < (1 if is_waiting or self._unanswered else idle_checks):
             return LivenessAction.KEEP
+        if is_sending:
+            return LivenessAction.KEEP
         if self._unanswered >= MAX_UNANSWERED_PROBES:
             return LivenessAction.CLOSE
         self._unanswered += 1
@@ -77,7 +89,7 @@
     sock = transport.get_extra_info("socket")
     try:
         return bool(_INT.unpack(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))[0])
-    except (AttributeError, OSError):
+    except (AttributeError, OSError, ValueError):
         return False
 
 
@@ -93,7 +105,7 @@
     sock = transport.get_extra_info("socket")
     try:
         return held + int(_INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0])
-    except (AttributeError, OSError):
+    except (AttributeError, OSError, ValueError):
         return held
 
 
--- a/tests/wire/test_liveness.py
+++ b/tests/wire/test_liveness.py
@@ -30,3 +30,11 @@
     liveness = LinkLiveness()
     assert check(liveness, 4, is_waiting=False) == [KEEP] * 3 + [PROBE]
     assert check(liveness, MAX_UNANSWERED_PROBES, is_waiting=False)[-1] is CLOSE
+
+
+def test_a_probe_that_is_still_on_its_way_is_not_unanswered() -> None:
+    """Guards against closing the link of a peer that steadily reads a long request."""
+    liveness = LinkLiveness()
+    assert check(liveness, 1) == [PROBE]
+    for _ in range(20):
+        assert liveness.check(is_waiting=True, idle_checks=4, is_sending=True) is KEEP
