--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -234,6 +234,8 @@
         for index, frame in enumerate(frames):
             fault = self._handle_frame(frame)
             if fault is not None:
+                for dropped in frames[index + 1 :]:
+                    self._budget.release(dropped.reserved_bytes)
                 self.close(fault.value)
                 return
         if self._reader.fault is not None:
@@ -242,8 +244,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending calls and cancel the served ones."""
         if self.closed.is_set():
-                for dropped in frames[index + 1 :]:
-                    self._budget.release(dropped.reserved_bytes)
             return
         self.closed.set()
         self.opened.set()
@@ -383,6 +383,7 @@
 
     def _handle_hello(self, frame: Frame) -> FrameFault | None:
         if frame.kind is not FrameKind.HELLO:
+            self._budget.release(frame.reserved_bytes)
             return FrameFault.GARBLED
         hello = decode_hello(frame.payload)
         if isinstance(hello, FrameFault):
@@ -398,7 +399,6 @@
             self.close("refused")
         return None
 
-            self._budget.release(frame.reserved_bytes)
     def _is_claimed_identity_valid(self, hello: Hello) -> bool:
         if self._expected_vm is not None and hello.vm_id != self._expected_vm:
             return False
@@ -411,7 +411,11 @@
 
     def _handle_call(self, frame: Frame) -> FrameFault | None:
         if frame.is_skipped:
-            self.send_frame(FrameKind.ANSWER, frame.call_id, encode_answer(_NO_MEMORY))
+            assert self.peer is not None
+            # daemons of earlier versions, which answer no probes, don't know the code
+            code = ResultCode.MEMORY_FULL if self.peer.answers_probes else ResultCode.QUEUE_FULL
+            answer = attrs.evolve(_NO_MEMORY, code=code)
+            self.send_frame(FrameKind.ANSWER, frame.call_id, encode_answer(answer))
             return None
         head = decode_call(frame.payload)
         if isinstance(head, FrameFault) or frame.call_id in self._served:
