--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from typing import Any
 
 import anyio
 import pytest
@@ -261,6 +262,16 @@
     await wait_until(lambda: list_instances(node) == [node.upstream.instance])
 
 
+async def test_servers_behind_a_page_without_readable_items_are_listed(mesh: Mesh) -> None:
+    """Guards against a whole read that takes an unreadable page for the last one."""
+    mesh.publish(make_config())
+    for number in range(mesh.store.page_size):
+        key = f"servers/h-{number}"
+        mesh.store.items[key] = {"key": key, "value": "", "revision": "odd"}
+    (node,) = [await mesh.add_node()]
+    await wait_until(lambda: list_instances(node) == [node.upstream.instance])
+
+
 def list_instances(node: Node) -> list[str]:
     """Return the processes that the daemon of a node lists."""
     return [vm.instance for vm in node.daemon.vm_list or ()]
