--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -272,6 +272,24 @@
     await wait_until(lambda: list_instances(node) == [node.upstream.instance])
 
 
+async def test_a_store_that_answers_watches_at_once_is_not_flooded(mesh: Mesh) -> None:
+    """Guards against watches in a loop without a pause, beyond what the store allows."""
+    mesh.publish(make_config())
+    await mesh.add_ready(1)
+
+    def answer(request: Request) -> Reply | None:
+        if not request.target.startswith("/kv-watch"):
+            return None
+        body = json.dumps({"events": [], "as_of": mesh.store.revision}).encode()
+        return Reply(200, {"content-type": "application/json"}, body)
+
+    mesh.store.intercept = answer
+    await anyio.sleep(1.2)
+    mesh.store.calls.clear()
+    await anyio.sleep(1)
+    assert len(mesh.store.calls) <= 50
+
+
 def list_instances(node: Node) -> list[str]:
     """Return the processes that the daemon of a node lists."""
     return [vm.instance for vm in node.daemon.vm_list or ()]
