Apply a version again that failed while it was applied

A version counted as known before all of its parts were applied, so that an exception between them, after which the task goes on now, left the daemon with a part of it for good. The new test failed before (applied once, never again, within 10 s).

--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -323,14 +323,14 @@
         known = self.published.document.version if self.published is not None else 0
         if document.version <= known:
             return
-        now_ms = self.clock.now_ms()
-        had_services = self.published.services if self.published is not None else None
+        before = self.published
         self.published = published
-        self.fleet.apply_document(document)
-        if self.vm_list is not None and published.services != had_services:
-            self.exchange.update_list()
-        self.cold_start.apply_document(document)
-        self.rate_limiter.apply_rates(now_ms, published.rates)
+        try:
+            self._apply_published(published, before)
+        except Exception:
+            # the version must not count as known, or it would never be applied
+            self.published = before
+            raise
         ended = 0
         if self.settings.bounds.strict_revocation:
             ended = self.entry.end_withdrawn(document) + self.serving.end_withdrawn(document)
@@ -348,6 +348,15 @@
         )
         self.exchange.note_document()
 
+    def _apply_published(self, published: PublishedConfig, before: PublishedConfig | None) -> None:
+        document = published.document
+        self.fleet.apply_document(document)
+        had_services = before.services if before is not None else None
+        if self.vm_list is not None and published.services != had_services:
+            self.exchange.update_list()
+        self.cold_start.apply_document(document)
+        self.rate_limiter.apply_rates(self.clock.now_ms(), published.rates)
+
     def update_entries(self, changes: EntryChanges) -> bool:
         return self.exchange.apply_store_changes(changes)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -290,6 +290,28 @@
     assert len(mesh.store.calls) <= 50
 
 
+async def test_a_version_that_could_not_be_applied_is_applied_again(
+    mesh: Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a version that is in force in parts only, and counts as known."""
+    mesh.publish(make_config())
+    (node,) = await mesh.add_ready(1)
+    limiter = node.daemon.rate_limiter
+    apply_rates = limiter.apply_rates
+    outcomes: list[bool] = []
+
+    def fail_once(*arguments: Any) -> None:
+        outcomes.append(bool(outcomes))
+        if not outcomes[-1]:
+            raise RuntimeError("once")
+        apply_rates(*arguments)
+
+    monkeypatch.setattr(type(limiter), "apply_rates", lambda _limiter, *rest: fail_once(*rest))
+    mesh.publish(make_config(2))
+    await wait_until(lambda: outcomes == [False, True])
+    assert node.daemon.exchange.version == 2
+
+
 def list_instances(node: Node) -> list[str]:
     """Return the processes that the daemon of a node lists."""
     return [vm.instance for vm in node.daemon.vm_list or ()]
