Refuse settings whose numbers Python doesn't convert

A whole number of 5,000 digits in the settings file raised a ValueError of tomllib's that no handler caught: a reload by SIGHUP ended the daemon.

The test of odd settings files has it as a further case, which failed before: `assert [1] == []`. It is an error of the file now.

--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -291,7 +291,8 @@
     """
     try:
         document = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
+    # ValueError: also a number with more digits than Python converts
+    except (ValueError, RecursionError) as error:
         return SettingsErrors((SettingsError("(file)", str(error), "a TOML document"),))
     reader = _Reader(_make_converter(folder))
     settings = reader.read(document, kind)
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -64,7 +64,14 @@
 
 @pytest.mark.parametrize(
     "content",
-    [b"", b"[vm", b"\xff\xfe", b"[bounds]\ngrace_s = 1" + b"0" * 400, b"a = " + b"[" * 5000],
+    [
+        b"",
+        b"[vm",
+        b"\xff\xfe",
+        b"[bounds]\ngrace_s = 1" + b"0" * 400,
+        b"a = " + b"[" * 5000,
+        b"a = 1" + b"0" * 5000,
+    ],
 )
 async def test_odd_settings_are_refused_and_the_daemon_goes_on(
     fleet: Fleet, content: bytes
