--- a/tests/processes/test_silent_links.py
+++ b/tests/processes/test_silent_links.py
@@ -20,6 +20,7 @@
     silenced: set[asyncio.Event] = attrs.field(factory=set)
     _open: set[asyncio.Event] = attrs.field(factory=set)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
     async def async_setup(self) -> None:
@@ -30,6 +31,8 @@
             self._server.close()
         for task in self._tasks:
             task.cancel()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def silence(self) -> int:
         """Pass on nothing more on the present connections; return their number."""
@@ -47,6 +50,7 @@
             return
         is_silent = asyncio.Event()
         self._open.add(is_silent)
+        self._writers |= {writer, other[1]}
         for start, end in ((reader, other[1]), (other[0], writer)):
             task = asyncio.create_task(self._pass_on(start, end, is_silent))
             self._tasks.add(task)
