Split the mesh daemon, the serving side, the entry and the link into smaller modules

The check of a call's destination is a pure function (destination.py), as is the bound on late calls of a stop (stop_times.py); the calls of a link stand apart from the link.

--- a/libs/daemon/src/wisteriaproxy/entry.py
+++ b/libs/daemon/src/wisteriaproxy/entry.py
@@ -23,6 +23,7 @@
 from .log_budget import CATEGORY_NOT_SERVED, CATEGORY_SUCCESS, has_line_budget
 from .metrics import REQUESTS_UNANSWERED, Metrics
 from .plan import Plan, count_hops, list_parts
+from .stop_times import StopTimes
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
@@ -67,22 +68,6 @@
         """Return the outcome of the call; `sent` receives the destination of each attempt."""
 
 
-@attrs.frozen
-class StopTimes:
-    """Times of a stop that bound the calls which are still taken, on the daemon's clock.
-
-    Parameters
-    ----------
-    late_from_ms : int
-        Time from which a call is only taken if its deadline lies before `cut_at_ms`.
-    cut_at_ms : int
-        Time at which the calls in flight are cut off.
-    """
-
-    late_from_ms: int
-    cut_at_ms: int
-
-
 @attrs.define(eq=False)
 class EntryHandler:
     """Handles requests of callers and child calls of the backend server.
@@ -216,7 +201,8 @@
         deadline_at_ms = self._read_deadline(now_ms, request, route, caller)
         if isinstance(deadline_at_ms, Refusal):
             return deadline_at_ms
-        if self._would_be_cut(now_ms, deadline_at_ms):
+        times = self.stop_times
+        if times is not None and times.would_cut(now_ms, deadline_at_ms + self.answer_grace_ms):
             return STOPPING
         key = self.dialect.read_idempotency_key(request, route)
         if isinstance(key, Refusal):
@@ -229,13 +215,6 @@
             request, request_id, route, service, caller, deadline_at_ms, key, document, priority
         )
 
-    def _would_be_cut(self, now_ms: int, deadline_at_ms: int) -> bool:
-        """Return whether a call comes late in a stop and may not be answered before its end."""
-        times = self.stop_times
-        if times is None or now_ms < times.late_from_ms:
-            return False
-        return deadline_at_ms + self.answer_grace_ms > times.cut_at_ms
-
     def _read_deadline(
         self, now_ms: int, request: HttpRequest, route: Route, caller: Caller
     ) -> int | Refusal:
--- a/libs/daemon/src/wisteriaproxy/mesh/app.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/app.py
@@ -1,11 +1,9 @@
 """Mesh daemon: builds the components, applies what the platform publishes, shuts down."""
 
 import asyncio
-import errno
 import itertools
 import logging
-import signal
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -35,9 +33,8 @@
 from ..cold_start import ColdStartMonitor
 from ..control.plane import ControlPlane
 from ..crashes import CrashMonitor
-from ..entry import EntryHandler, StopTimes
+from ..entry import EntryHandler
 from ..fleet import FleetView
-from ..flush import wait_flushed
 from ..forward import Forwarder
 from ..gaps import GapMonitor
 from ..incarnation import make_incarnation
@@ -60,11 +57,7 @@
 from ..serving import ServingHandler
 from ..settings import SettingsErrors, load_settings_of
 from ..task_keeper import BackgroundTasks, keep_running
-from .const import (
-    ANSWER_GRACE_MS,
-    GATE_TICK_MS,
-    SETTINGS_POLL_MS,
-)
+from .const import ANSWER_GRACE_MS, GATE_TICK_MS
 from .directory import EntryChanges
 from .endpoints import (
     PATH_METRICS,
@@ -75,35 +68,20 @@
     make_status_page,
 )
 from .entries import StorePosition
+from .memory import find_budget
 from .news import ReportExchange
 from .notices import NoticeHandler
+from .ports import open_port
 from .rates import SharedRates
 from .settings import MeshSettings, parse_address
+from .settings_file import watch_settings
 from .sources import Platform, PublishedConfig
+from .stop import PlannedStop
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
-_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-_PORT_RETRY_S = 0.2
-"""Interval at which a port that is in use is tried again: the process before may be ending."""
-_BYTES_PER_MB = 1_048_576
-_BASE_MB = 70
-"""Memory of a daemon that holds no long requests."""
-_COPIES = 3.4
-"""Memory for each byte of a request's body: as it was received, as it is encoded and as it is sent,
-with some fragmentation."""
-_STOP_POLL_S = 0.02
-"""Interval at which a stop checks whether calls are in flight; short compared to the grace."""
 _NOT_READY_RETRY_MS = 200
 """Retry-after advice while the daemon is not ready: a start takes about half a second."""
-_STOP_FRACTION = 0.9
-"""Fraction of the grace period after which calls in flight are cancelled, so that the daemon exits
-before the platform ends it."""
-_LATE_FRACTION = 0.45
-"""Fraction of the grace period after which only calls are taken that end before the stop does: the
-platform excuses a call that is cut off if it came in the first half."""
-_FLUSH_FRACTION = 0.97
-"""Fraction of the grace period after which the daemon exits although callers have not read all."""
 LOAD_BALANCER_CONFIG = LoadBalancerConfig(local_load=0.5, explore_share=0.01)
 """Servers of the own failure domain are preferred up to half load, below which no server queues.
 The share of calls sent elsewhere to compare latencies is small, as traffic between failure domains
@@ -163,7 +141,7 @@
                 slack=bounds.rate_slack * OVERAGE_FRACTION,
             ),
         )
-        self.budget = ByteBudget(_find_budget(settings.bounds.memory_mb))
+        self.budget = ByteBudget(find_budget(settings.bounds.memory_mb))
         self.links = LinkPool(self, self.vm_id, self.incarnation, None, clock, self.budget)
         self.fleet = FleetView(
             FailureDomain(settings.vm.failure_domain),
@@ -411,17 +389,19 @@
         """Run until a stop is requested; return whether every call was finished."""
         listen = self.settings.listen
         # calls can be served while the port for operators is in use
-        self.tasks.start_soon(self._open_port, self.operator_port.async_setup, listen.operators)
-        await self._open_port(self.ready_port.async_setup, listen.ready)
-        await self._open_port(self.links.async_setup, *parse_address(listen.peers))
-        await self._open_port(self.callers.async_setup, *parse_address(listen.callers))
+        is_stopping = self.stopping.is_set
+        operator_setup = self.operator_port.async_setup
+        self.tasks.start_soon(open_port, is_stopping, operator_setup, listen.operators)
+        await open_port(is_stopping, self.ready_port.async_setup, listen.ready)
+        await open_port(is_stopping, self.links.async_setup, *parse_address(listen.peers))
+        await open_port(is_stopping, self.callers.async_setup, *parse_address(listen.callers))
         failures = self.metrics.counter(TASK_FAILURES)
         runs: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             "gaps": self.gaps.run,
             "gate": self.serving.run_ticks,
             "cold_start": self.cold_start.run,
             "control": self.exchange.run,
-            "settings": self._watch_settings,
+            "settings": partial(watch_settings, self._settings_path, self.reload_settings),
             "source": partial(self._source.run, self),
         }
         for name, run in runs.items():
@@ -435,59 +415,22 @@
             },
         )
         await self.stopping.wait()
-        is_clean = await self._finish()
+        stop = PlannedStop(
+            self.settings.bounds.grace_s,
+            self.clock,
+            self.entry,
+            self.serving,
+            self.exchange,
+            self.callers,
+            self.links,
+            self.backend,
+            self.ready_port,
+            self.call_tasks,
+        )
+        is_clean = await stop.run()
         self.tasks.cancel_scope.cancel()
         return is_clean
 
-    async def _open_port(self, setup: Callable[..., Awaitable[Any]], *address: Any) -> None:
-        """Start to listen; while the address is in use, try again until the daemon stops."""
-        is_first = True
-        while not self.stopping.is_set():
-            try:
-                await setup(*address)
-                return
-            except OSError as error:
-                if error.errno != errno.EADDRINUSE:
-                    raise
-            if is_first:
-                _LOGGER.warning("port_in_use", extra={"address": ":".join(map(str, address))})
-            is_first = False
-            await anyio.sleep(_PORT_RETRY_S)
-
-    async def _finish(self) -> bool:
-        """Refuse new calls, wait for calls in flight and their answers, then close everything."""
-        grace_s = self.settings.bounds.grace_s
-        flush_until_s = anyio.current_time() + grace_s * _FLUSH_FRACTION
-        now_ms = self.clock.now_ms()
-        self.entry.stop_times = StopTimes(
-            late_from_ms=now_ms + round(grace_s * _LATE_FRACTION * _MS_PER_S),
-            cut_at_ms=now_ms + round(grace_s * _STOP_FRACTION * _MS_PER_S),
-        )
-        self.entry.is_stopping = True
-        self.serving.begin_stop()
-        self.exchange.announce_leaving()
-        _LOGGER.info("stop_started", extra={"in_flight": self._count_in_flight()})
-        with anyio.move_on_after(grace_s * _STOP_FRACTION):
-            # calls that run on the backend server may make child calls through this daemon
-            await _wait_for_end(lambda: self.serving.in_flight)
-            await self.callers.async_unload()
-            await _wait_for_end(self._count_in_flight)
-        cut = self._count_in_flight()
-        if cut:
-            _LOGGER.warning("stop_limit_reached", extra={"calls_cut": cut})
-            self.entry.cancel_all()
-            self.serving.cancel_all()
-            await anyio.sleep(_STOP_POLL_S)
-        await self.callers.async_unload()
-        self.call_tasks.cancel_all()
-        await self.links.async_unload()
-        await self.backend.async_unload()
-        left_s = flush_until_s - anyio.current_time()
-        unflushed = await wait_flushed(self.callers, self.links, left_s)
-        await self.ready_port.async_unload()
-        _LOGGER.info("daemon_stopped", extra={"calls_cut": cut, "unflushed": unflushed})
-        return cut == 0
-
     def start_drain(self) -> None:
         """Begin a planned stop."""
         self.stopping.set()
@@ -536,16 +479,6 @@
         if self.published is not None:
             self.cold_start.apply_document(self.published.document)
 
-    async def _watch_settings(self) -> None:
-        """Poll until cancelled."""
-        last_mtime = _read_mtime(self._settings_path)
-        while True:
-            await anyio.sleep(SETTINGS_POLL_MS / _MS_PER_S)
-            mtime = _read_mtime(self._settings_path)
-            if mtime != last_mtime:
-                last_mtime = mtime
-                self.reload_settings()
-
     # internal
 
     def _handle_peer_change(self) -> None:
@@ -577,9 +510,6 @@
     def _serve_locally(self, call: LocalCall, head: CallHead) -> None:
         self.call_tasks.spawn(self.serving.serve, call, head)
 
-    def _count_in_flight(self) -> int:
-        return self.entry.in_flight + self.serving.in_flight
-
     def _is_usable(self, vm_id: VmId) -> bool:
         if vm_id == self.vm_id:
             return not self.serving.is_leaving
@@ -618,48 +548,5 @@
         self.metrics.set_gauge(LOOP_GAP, lambda: self.gaps.longest_ms / _MS_PER_S)
 
 
-def _find_budget(memory_mb: float) -> int:
-    """Return how many bytes of requests fit into the memory of the process."""
-    return round(max(0.0, memory_mb - _BASE_MB) * _BYTES_PER_MB / _COPIES)
-
-
-async def _wait_for_end(count_calls: Callable[[], int]) -> None:
-    """Wait until no call is counted any more."""
-    is_busy = True
-    while is_busy:
-        await anyio.sleep(_STOP_POLL_S)
-        is_busy = count_calls() > 0
-
-
-def _read_mtime(path: Path) -> int:
-    try:
-        return path.stat().st_mtime_ns
-    except OSError as error:
-        _LOGGER.warning("settings_unreadable", extra={"cause": type(error).__name__})
-        return 0
-
-
 def _not_ready(reason: str) -> Refusal:
     return Refusal(ResultCode.NOT_READY, reason, retry_after_ms=_NOT_READY_RETRY_MS)
-
-
-async def run_mesh_daemon(settings: MeshSettings, path: Path, platform: Platform) -> bool:
-    """Run until a stop is requested; return whether it cancelled no call."""
-    results: list[bool] = []
-    async with anyio.create_task_group() as tasks:
-        daemon = MeshDaemon(settings, path, platform, Clock(), tasks)
-        tasks.start_soon(_watch_signals, daemon)
-        results.append(await daemon.run())
-    return bool(results) and results[0]
-
-
-async def _watch_signals(daemon: MeshDaemon) -> None:
-    """Stop gracefully on SIGTERM and SIGINT; reload settings on SIGHUP."""
-    with anyio.open_signal_receiver(*_SIGNALS) as signals:
-        # the program may have blocked signals since its start
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
-        async for received in signals:
-            if received == signal.SIGHUP:
-                daemon.reload_settings()
-            else:
-                daemon.start_drain()
--- a/libs/daemon/src/wisteriaproxy/serving.py
+++ b/libs/daemon/src/wisteriaproxy/serving.py
@@ -1,7 +1,6 @@
 """Serving side of the call path: admits a call and runs it on the backend server."""
 
 import asyncio
-import enum
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -35,8 +34,10 @@
 from .calls import CallRegistry, RunningCall
 from .const import ATTR_CODE, ATTR_REQUEST_ID
 from .crashes import CrashMonitor
+from .destination import find_mismatch
 from .metrics import BACKEND_CALLS, MISDIRECTED_CALLS, Counts
 from .responders import Responder
+from .served_state import Phase, ServedState
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1_000
@@ -50,12 +51,6 @@
 SERVER_LEAVING = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the backend server is leaving", RunState.NOT_RUN
 )
-OTHER_SERVICE = Refusal(
-    ResultCode.BACKEND_SERVER_LEAVING, "the VM runs another service", RunState.NOT_RUN
-)
-NO_PROCESS_NAMED = Refusal(
-    ResultCode.BACKEND_SERVER_LEAVING, "the call names no process", RunState.NOT_RUN
-)
 EVACUATED = Refusal(
     ResultCode.BACKEND_SERVER_LEAVING, "the failure domain is evacuated", RunState.NOT_RUN
 )
@@ -70,35 +65,6 @@
 INTERNAL = Refusal(ResultCode.INTERNAL, "the daemon failed to serve the call", RunState.UNKNOWN)
 
 
-class _Phase(enum.Enum):
-    """Progress of a served call."""
-
-    WAITING = "waiting"
-    SENT = "sent"
-    ANSWERED = "answered"
-
-
-@attrs.define(eq=False)
-class _ServedCall:
-    """Serving state of one call."""
-
-    head: CallHead
-    responder: Responder
-    scope: CallScope
-    deadline_at_ms: int
-    phase: _Phase = _Phase.WAITING
-    outcome: Outcome = Outcome.CANCELLED
-    sent_at_ms: int = 0
-    verdict: Refusal | None = None
-    decided: asyncio.Event = attrs.field(factory=asyncio.Event)
-    end_reason: Refusal | None = None
-    call: RunningCall | None = None
-
-    def count_spent(self) -> int:
-        """Count retries spent by the call and its child calls."""
-        return self.call.count_spent() if self.call is not None else 0
-
-
 @attrs.define(eq=False)
 class ServingHandler:
     """Handles the calls that entry daemons send to the backend server of this VM.
@@ -151,7 +117,7 @@
     needs_process: bool = False
     misdirected: Counts = attrs.field(factory=lambda: Counts(MISDIRECTED_CALLS))
     backend_calls: Counts = attrs.field(factory=lambda: Counts(BACKEND_CALLS))
-    _calls: dict[int, _ServedCall] = attrs.field(factory=dict)
+    _calls: dict[int, ServedState] = attrs.field(factory=dict)
     _next_id: int = 0
     _waits_for_token: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -168,14 +134,14 @@
     def count_waiting(self) -> Counter[Priority]:
         """Count the calls that wait to be sent, by priority."""
         served = self._calls.values()
-        return Counter(one.head.priority for one in served if one.phase is _Phase.WAITING)
+        return Counter(one.head.priority for one in served if one.phase is Phase.WAITING)
 
     async def serve(self, responder: Responder, head: CallHead) -> None:
         """Serve one call and send its outcome, whatever it is, to `responder`."""
         now_ms = self.clock.now_ms()
         deadline = asyncio.get_running_loop().time() + head.remaining_ms / _MS_PER_S
         scope = CallScope(deadline)
-        served = _ServedCall(head, responder, scope, now_ms + head.remaining_ms)
+        served = ServedState(head, responder, scope, now_ms + head.remaining_ms)
         responder.on_cancel = scope.cancel
         if responder.is_cancelled:
             return
@@ -268,7 +234,7 @@
         """Start queued calls that need not wait any more."""
         self._apply_actions(self.gate.tick(self.clock.now_ms()))
 
-    async def _serve_within(self, call_id: int, served: _ServedCall) -> None:
+    async def _serve_within(self, call_id: int, served: ServedState) -> None:
         refusal = self.check(served.head) or await self._admit(call_id, served)
         if refusal is None:
             # the process may have been replaced, or a key withdrawn, while the call was queued
@@ -330,21 +296,11 @@
 
     def _check_process(self, head: CallHead) -> Refusal | None:
         """Return the refusal of a call that the process on this VM must not run, or None."""
-        refusal = self._find_mismatch(head)
+        refusal = find_mismatch(head, self.read_vm(), needs_process=self.needs_process)
         if refusal is not None:
             self.misdirected.add(("daemon",))
         return refusal
 
-    def _find_mismatch(self, head: CallHead) -> Refusal | None:
-        if self.needs_process and not head.instance:
-            return NO_PROCESS_NAMED
-        vm = self.read_vm()
-        if vm is None or vm.service == head.service:
-            return None
-        # the list of the entry daemon may be the newer one; the process itself rejects a call
-        # that names another one
-        return OTHER_SERVICE if head.instance == vm.instance else None
-
     def _check_key(self, head: CallHead) -> Refusal | None:
         not_ready = self.check_ready()
         if not_ready is not None:
@@ -366,7 +322,7 @@
             return False
         return not document.holds_key(head.key_id, head.key_digest)
 
-    async def _admit(self, call_id: int, served: _ServedCall) -> Refusal | None:
+    async def _admit(self, call_id: int, served: ServedState) -> Refusal | None:
         head = served.head
         ticket = Ticket(
             call_id=call_id,
@@ -406,10 +362,10 @@
                 served.verdict = action.refusal
             served.decided.set()
 
-    def _release_gate(self, call_id: int, served: _ServedCall) -> None:
+    def _release_gate(self, call_id: int, served: ServedState) -> None:
         now_ms = self.clock.now_ms()
         latency_ms = now_ms - served.sent_at_ms if served.sent_at_ms else 0
-        if served.phase is not _Phase.WAITING:
+        if served.phase is not Phase.WAITING:
             self.backend_calls.add((served.outcome.value,))
         self._apply_actions(self.gate.cancel(now_ms, call_id))
         child_wait_ms = served.call.total_child_wait_ms(now_ms) if served.call is not None else 0
@@ -417,8 +373,8 @@
             self.gate.release(now_ms, call_id, served.outcome, latency_ms, child_wait_ms)
         )
 
-    async def _run(self, served: _ServedCall, call: RunningCall) -> None:
-        served.phase = _Phase.SENT
+    async def _run(self, served: ServedState, call: RunningCall) -> None:
+        served.phase = Phase.SENT
         served.sent_at_ms = self.clock.now_ms()
         http_call = await self.backend.send(call)
         if http_call is CONNECT_FAILED:
@@ -444,7 +400,7 @@
             http_call.cancel()
 
     async def _relay_answer(
-        self, served: _ServedCall, call: RunningCall, http_call: HttpCall
+        self, served: ServedState, call: RunningCall, http_call: HttpCall
     ) -> None:
         answer = http_call.answer
         inline = await self._collect_inline(http_call)
@@ -474,7 +430,7 @@
             server_leaving=self.is_draining,
         )
         served.responder.send_answer(head)
-        served.phase = _Phase.ANSWERED
+        served.phase = Phase.ANSWERED
         if inline is None:
             await self._stream(served, http_call)
 
@@ -495,7 +451,7 @@
                 return chunk
             parts.append(chunk)
 
-    async def _stream(self, served: _ServedCall, http_call: HttpCall) -> None:
+    async def _stream(self, served: ServedState, http_call: HttpCall) -> None:
         """Stream a body; a long download is bounded by its stall limit instead of its deadline."""
         stall_s = served.head.stall_ms / _MS_PER_S
         while True:
@@ -516,20 +472,20 @@
                 served.outcome = Outcome.CANCELLED
                 return
 
-    def _end_early(self, served: _ServedCall) -> None:
+    def _end_early(self, served: ServedState) -> None:
         """Answer a call that ended early: deadline, withdrawn key, stop or internal error."""
         refusal = self._find_end_reason(served)
-        if served.phase is _Phase.ANSWERED:
+        if served.phase is Phase.ANSWERED:
             served.responder.abort_body(refusal)
             return
         head = refusal_to_head(refusal, served.count_spent())
         served.responder.send_answer(self._add_load(head, served.head, served.call))
 
-    def _find_end_reason(self, served: _ServedCall) -> Refusal:
-        run_state = RunState.NOT_RUN if served.phase is _Phase.WAITING else RunState.UNKNOWN
+    def _find_end_reason(self, served: ServedState) -> Refusal:
+        run_state = RunState.NOT_RUN if served.phase is Phase.WAITING else RunState.UNKNOWN
         if served.end_reason is not None:
             return attrs.evolve(served.end_reason, run_state=run_state)
-        if served.phase is _Phase.ANSWERED and served.head.long:
+        if served.phase is Phase.ANSWERED and served.head.long:
             return Refusal(ResultCode.ANSWER_STALLED, "the download stalled", RunState.RAN)
         if self.is_stopping and self.clock.now_ms() < served.deadline_at_ms:
             return Refusal(ResultCode.STOPPING, "the daemon was stopped", run_state)
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -5,7 +5,8 @@
 from .const import CALLER_BACKLOG, INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
 from .http_client import CONNECT_FAILED, HttpCall, HttpClientPool, HttpResponse, encode_request
 from .http_server import CallerLimits, HttpExchange, HttpRequest, HttpServerConnection
-from .link import Link, LinkHandler, PendingCall, ServedCall
+from .link import Link, LinkHandler
+from .link_calls import PendingCall, ServedCall
 from .models import AnswerHead, CallHead, Hello
 from .pool import LinkPool
 from .scope import CallScope
--- a/libs/wire/src/wisteria_wire/link.py
+++ b/libs/wire/src/wisteria_wire/link.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import logging
-import struct
-from collections.abc import Callable
 from typing import Protocol, cast
 
 import attrs
 
 from wisteria_core import Refusal, ResultCode, RunState, VmId, http_status
 
-from .body import BodyStream
 from .budget import ByteBudget
 from .codec import (
     decode_answer,
@@ -26,16 +23,14 @@
     MAX_UNSENT_BYTES,
     PROTOCOL_VERSION,
     RESERVED_FRAME_BYTES,
-    WINDOW_BYTES,
 )
 from .frames import FrameReader, encode_frame, encode_frame_header
+from .link_calls import BYTE_COUNT, PendingCall, ServedCall
 from .liveness import LinkLiveness, LivenessAction, count_unacknowledged, set_tcp_timeouts
 from .models import AnswerHead, CallHead, Frame, FrameFault, FrameKind, Hello
 from .tls import read_peer_names
 
 _LOGGER = logging.getLogger(__name__)
-_BYTE_COUNT = struct.Struct("!Q")
-
 _NO_MEMORY = AnswerHead(
     http_status(ResultCode.MEMORY_FULL),
     code=ResultCode.MEMORY_FULL,
@@ -53,7 +48,7 @@
     def handle_link_open(self, link: "Link") -> bool:
         """Register a link whose peer is authenticated; return False to close it."""
 
-    def handle_call(self, served: "ServedCall", head: CallHead) -> None:
+    def handle_call(self, served: ServedCall, head: CallHead) -> None:
         """Serve a call that the peer has sent."""
 
     def handle_control(self, link: "Link", kind: int, payload: bytes) -> None:
@@ -63,98 +58,6 @@
         """Unregister a closed link."""
 
 
-@attrs.define(eq=False)
-class PendingCall:
-    """A call sent to the peer that has no complete answer yet."""
-
-    link: "Link"
-    call_id: int
-    body: BodyStream = attrs.field(factory=BodyStream)
-    _answer: AnswerHead | Refusal | None = None
-    _ready: asyncio.Event = attrs.field(factory=asyncio.Event)
-
-    async def wait_answer(self) -> AnswerHead | Refusal:
-        """Return the head of the answer, or a refusal when the link is lost."""
-        await self._ready.wait()
-        assert self._answer is not None
-        return self._answer
-
-    def cancel(self) -> None:
-        self.link.cancel_call(self.call_id)
-
-    def settle(self, answer: AnswerHead | Refusal) -> None:
-        """Deliver the head to the waiting task; ignore a second head."""
-        if self._answer is not None:
-            return
-        self._answer = answer
-        self._ready.set()
-
-
-@attrs.define(eq=False)
-class ServedCall:
-    """A call received from the peer and answered here.
-
-    Parameters
-    ----------
-    reserved_bytes : int
-        Bytes of its head and body that count towards the budget.
-    """
-
-    link: "Link"
-    call_id: int
-    on_cancel: Callable[[], None] | None = None
-    is_cancelled: bool = False
-    _credit: int = WINDOW_BYTES
-    _credit_added: asyncio.Event | None = None
-    _sent_bytes: int = 0
-    reserved_bytes: int = 0
-
-    def send_answer(self, head: AnswerHead) -> None:
-        """Send the head; a complete head ends the call."""
-        self.link.send_frame(FrameKind.ANSWER, self.call_id, encode_answer(head))
-        if head.complete:
-            self.link.forget_served(self.call_id)
-
-    async def send_body(self, data: bytes) -> bool:
-        """Send body bytes once there is credit; False when the call was cancelled."""
-        while self._credit <= 0 and not self.is_cancelled:
-            self._credit_added = asyncio.Event()
-            await self._credit_added.wait()
-        if self.is_cancelled:
-            return False
-        self._credit -= len(data)
-        self._sent_bytes += len(data)
-        self.link.send_frame(FrameKind.BODY, self.call_id, data)
-        return True
-
-    def finish_body(self) -> None:
-        """Send the end of the body with its total length, which the peer verifies."""
-        self.link.send_frame(FrameKind.BODY_END, self.call_id, _BYTE_COUNT.pack(self._sent_bytes))
-        self.link.forget_served(self.call_id)
-
-    def abort_body(self, refusal: Refusal) -> None:
-        """Tell the peer that the body is truncated, and why."""
-        head = AnswerHead(0, code=refusal.code, run_state=refusal.run_state, reason=refusal.reason)
-        self.link.send_frame(FrameKind.BODY_ABORT, self.call_id, encode_answer(head))
-        self.link.forget_served(self.call_id)
-
-    def add_credit(self, count: int) -> None:
-        self._credit += count
-        self._wake()
-
-    def cancel(self) -> None:
-        """Mark the call as cancelled, by the peer or because the link was lost."""
-        self.is_cancelled = True
-        self._wake()
-        if self.on_cancel is not None:
-            self.on_cancel()
-
-    def _wake(self) -> None:
-        if self._credit_added is not None:
-            self._credit_added.set()
-            self._credit_added = None
-
-
 class Link(asyncio.Protocol):
     """One end of a link; both ends behave alike.
 
@@ -357,7 +260,7 @@
             self._release(served)
 
     def _send_credit(self, call_id: int, count: int) -> None:
-        self.send_frame(FrameKind.CREDIT, call_id, _BYTE_COUNT.pack(count))
+        self.send_frame(FrameKind.CREDIT, call_id, BYTE_COUNT.pack(count))
 
     def _handle_frame(self, frame: Frame) -> FrameFault | None:
         if self.peer is None:
@@ -457,9 +360,9 @@
         return self._end_body(call, frame.payload)
 
     def _end_body(self, call: PendingCall, payload: bytes) -> FrameFault | None:
-        if len(payload) != _BYTE_COUNT.size:
+        if len(payload) != BYTE_COUNT.size:
             return FrameFault.GARBLED
-        (declared_bytes,) = _BYTE_COUNT.unpack(payload)
+        (declared_bytes,) = BYTE_COUNT.unpack(payload)
         if declared_bytes == call.body.received_bytes:
             call.body.finish()
             return None
@@ -473,11 +376,11 @@
         return None
 
     def _handle_credit(self, frame: Frame) -> FrameFault | None:
-        if len(frame.payload) != _BYTE_COUNT.size:
+        if len(frame.payload) != BYTE_COUNT.size:
             return FrameFault.GARBLED
         served = self._served.get(frame.call_id)
         if served is not None:
-            served.add_credit(_BYTE_COUNT.unpack(frame.payload)[0])
+            served.add_credit(BYTE_COUNT.unpack(frame.payload)[0])
         return None
 
     def _handle_cancel(self, frame: Frame) -> None:
