One relay for all tests with processes, and the soak among the tools

Three forwarders of connections had come from three parts; tests and soak share one now. Clients that keep connections and configurations are modules of their own.

--- a/script/tools/mesh_soak/__main__.py
+++ b/script/tools/mesh_soak/__main__.py
@@ -11,7 +11,8 @@
 from collections import Counter
 from datetime import datetime
 
-from ..support import Machine
+from tests.processes.support import Machine
+
 from .checker import Case, Checker
 from .disruptions import Disruptor
 from .world import SoakFleet, World
--- a/script/tools/mesh_soak/checker.py
+++ b/script/tools/mesh_soak/checker.py
@@ -172,7 +172,7 @@
 
     def _check_regress(self) -> Iterator[Case]:
         """Find requests handled by an older version than one whose effect was seen before."""
-        starts = defaultdict(lambda: [0.0])
+        starts: defaultdict[str, list[float]] = defaultdict(lambda: [0.0])
         for host, at_s in sorted(self.record.starts, key=lambda start: start[1]):
             starts[host].append(at_s)
         by_process = defaultdict(list)
--- a/script/tools/mesh_soak/clients.py
+++ b/script/tools/mesh_soak/clients.py
@@ -146,7 +146,7 @@
         sample.end = "cut"
         return False
     sample.end = "answered"
-    return headers.get("connection", "").lower() != "close"
+    return bool(headers.get("connection", "").lower() != "close")
 
 
 async def _read_body(reader: asyncio.StreamReader, length: int, sample: Sample) -> bytes:
--- a/script/tools/mesh_soak/disruptions.py
+++ b/script/tools/mesh_soak/disruptions.py
@@ -8,8 +8,8 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
+from tests.processes.support import Machine
 
-from ..support import Machine
 from .models import Disruption
 from .world import SERVICES, SLOTS, World
 
@@ -21,6 +21,8 @@
 KEPT_PER_SERVICE = 2
 OVERLAP = 5
 
+Act = Callable[[], Awaitable[None]]
+
 
 @attrs.define(eq=False)
 class Disruptor:
@@ -52,7 +54,7 @@
             for name in rng.sample(names, min(count, len(names), OVERLAP - len(running))):
                 running.add(self.world.spawn(self._play(name, acts[name])))
 
-    async def _play(self, name: str, act: Callable[[], Awaitable[None]]) -> None:
+    async def _play(self, name: str, act: Act) -> None:
         self.played[name] = self.played.get(name, 0) + 1
         print(f"+{time.monotonic() - self.world.began_s:.1f} {name}", flush=True)
         try:
@@ -60,7 +62,7 @@
         except TimeoutError:
             self.world.record.unready.append((name, time.monotonic()))
 
-    def list_planned(self) -> dict[str, Callable[[], Awaitable[None]]]:
+    def list_planned(self) -> dict[str, Act]:
         return {
             "roll": self.roll,
             "term_many": self.term_many,
@@ -72,8 +74,8 @@
             "burst": self.burst,
         }
 
-    def list_unplanned(self) -> dict[str, Callable[[], Awaitable[None]]]:
-        links = {"links_mute": self.links_mute, "links_reset": self.links_reset}
+    def list_unplanned(self) -> dict[str, Act]:
+        links: dict[str, Act] = {"links_mute": self.links_mute, "links_reset": self.links_reset}
         return (links if self.world.links else {}) | {
             "kill": self.kill,
             "kill_many": self.kill_many,
--- a/script/tools/mesh_soak/models.py
+++ b/script/tools/mesh_soak/models.py
@@ -102,7 +102,9 @@
         if route is None or not (route["public"] or key in self.keys):
             return frozenset()
         parts = route.get("traffic_split")
-        return frozenset(part["service"] for part in parts) if parts else {route["service"]}
+        if parts:
+            return frozenset(part["service"] for part in parts)
+        return frozenset({route["service"]})
 
     def explains(self, path: str, key: str, status: int) -> bool:
         """Return whether a refusal with 401, 403 or 404 follows from this version."""
--- a/script/tools/mesh_soak/world.py
+++ b/script/tools/mesh_soak/world.py
@@ -13,11 +13,18 @@
 import attrs
 from tests.platform.standins import STORE, Reply, Request, Store
 from tests.platform.support import HOST
+from tests.processes.documents import make_route
+from tests.processes.relay import Relay
+from tests.processes.support import (
+    CALLERS,
+    PEERS,
+    READY,
+    Fleet,
+    Machine,
+)
 
-from ..support import CALLERS, PEERS, READY, Fleet, Machine, make_route
 from .clients import Clients
 from .models import Departure, Disruption, Record, Sample, Version, Work
-from .relay import Relay
 
 SERVICES = ("yieldview", "animalhealth", "reportdesk", "supplyorder")
 BASE = (
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -5,6 +5,7 @@
 import socket
 import tempfile
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -169,7 +170,7 @@
         """Start VMs, in the zones by turns, and wait until each knows the others and the routes."""
         nodes = [await self.add_node(zone=zones[i % len(zones)]) for i in range(count)]
         for node in nodes:
-            await wait_until(lambda node=node: self._knows_all(node))
+            await wait_until(partial(self._knows_all, node))
         return nodes
 
     async def call(
--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -36,9 +36,10 @@
         elif mode == "silent" and includes_open:
             self.mute()
 
-    def mute(self) -> None:
-        """Let all open connections fall silent for good."""
+    def mute(self) -> int:
+        """Let all open connections fall silent for good; return their number."""
         self._muted |= self._writers
+        return len(self._writers)
 
     def reset(self) -> None:
         for writer in list(self._writers):
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -22,12 +22,13 @@
 from tests.platform.standins import APP, STORE, HttpStandin, Reply, Request, Store, Upstream
 from tests.platform.support import HOST, KEY, claim_subnet, read_reply
 
+from .documents import make_config
+
 ROOT = Path(__file__).resolve().parents[2]
 CALLERS, PEERS, READY, OPERATORS = 8001, 8002, 8003, 8004
 FIRST_SUBNET, LAST_SUBNET = 20, 250
 START_LIMIT_S = 30.0
 RESTART_DELAY_S = 0.5
-ETHERNET_SEGMENT_BYTES = 1_460
 CONFIG_APPLY_S = 2.0
 """Time within which a version must be in force while the store is stable."""
 DRAIN_S = 2.0
@@ -378,152 +379,6 @@
             return Reply(0)
 
 
-@attrs.define(eq=False)
-class KeptClient:
-    """A client that sends its requests one after the other on a kept connection.
-
-    Parameters
-    ----------
-    receive_bytes : int
-        Size of the receive buffer of the kernel; 0 for the default.
-    """
-
-    fleet: Fleet
-    machine: Machine
-    receive_bytes: int = 0
-    _reader: asyncio.StreamReader | None = None
-    _writer: asyncio.StreamWriter | None = None
-
-    @property
-    def is_open(self) -> bool:
-        return self._writer is not None
-
-    async def connect(self) -> None:
-        sock = socket.socket()
-        if self.receive_bytes:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
-            # the segments of the loopback device, and the buffers to match, hold 64 KB
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES)
-        sock.setblocking(False)
-        try:
-            address = (self.machine.host, CALLERS)
-            await asyncio.get_running_loop().sock_connect(sock, address)
-            self._reader, self._writer = await asyncio.open_connection(sock=sock, limit=4_096)
-        except OSError:
-            sock.close()
-            raise
-
-    async def call(
-        self,
-        path: str,
-        method: str = "GET",
-        timeout_ms: int = 2_000,
-        body: bytes = b"",
-        attempt: str | None = None,
-        pause_s: float = 0.0,
-        **headers: str,
-    ) -> Reply:
-        """Send a request and return its answer; status 0 if there is none, `closes` if it is short.
-
-        Parameters
-        ----------
-        pause_s : float
-            Time for which the client reads nothing after it has sent the request.
-        """
-        if self._writer is None:
-            await self.connect()
-        assert self._reader is not None
-        assert self._writer is not None
-        sent = {
-            "host": HOST,
-            "wisteriaproxy-attempt-id": attempt or self.fleet.make_attempt(),
-            "wisteriaproxy-timeout-ms": str(timeout_ms),
-            "authorization": f"Bearer {KEY}",
-            "content-length": str(len(body)) if body else "",
-            **{name.replace("_", "-"): value for name, value in headers.items()},
-        }
-        lines = [f"{method} {path} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in sent.items() if value]
-        try:
-            async with asyncio.timeout(timeout_ms / 1_000 + 1):
-                self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-                await asyncio.sleep(pause_s)
-                reply = await _read_kept_reply(self._reader)
-        except (OSError, TimeoutError):
-            reply = Reply(0, closes=True)
-        if reply.closes or reply.headers.get("connection") == "close":
-            self.close()
-        return reply
-
-    def close(self) -> None:
-        if self._writer is not None:
-            self._writer.close()
-        self._reader = self._writer = None
-
-
-async def _read_kept_reply(reader: asyncio.StreamReader) -> Reply:
-    head, body = b"", bytearray()
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-        reply = read_reply(head)
-        length = reply.headers.get("content-length")
-        if length is not None:
-            while len(body) < int(length):
-                data = await reader.read(int(length) - len(body))
-                if not data:
-                    raise ConnectionResetError
-                body += data
-        else:
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readexactly(2)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return attrs.evolve(read_reply(head), body=bytes(body), closes=True)
-    return attrs.evolve(reply, body=bytes(body), closes=False)
-
-
-def make_config(version: int, **changes: Any) -> dict[str, Any]:
-    """Return a configuration of two services with a route each."""
-    config: dict[str, Any] = {
-        "config_version": f"{version:08x}",
-        "routes": [
-            make_route("yields", "yield", "idempotent"),
-            make_route("orders", "order", "non_idempotent"),
-        ],
-        "services": [
-            {"name": name, "health_path": "/healthz", "max_connections": 600, "protocol": "h1"}
-            for name in ("yield", "order")
-        ],
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 1_000_000,
-            "header_timeout_s": 3,
-            "idle_timeout_s": 15,
-        },
-        "tenants": [
-            {"name": "co-op", "api_keys": [KEY], "priority": 1, "rate_per_s": 0, "burst": 0}
-        ],
-    }
-    return {**config, **changes}
-
-
-def make_route(name: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
-    """Return a route whose prefix is its name."""
-    route = {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "route_type": kind,
-        "timeout_s": 5,
-        "target_latency_s": 1.5,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 2,
-        "public": False,
-    }
-    return {**route, **changes}
-
-
 def lose_answers(store: Store, should_lose: Callable[[str], bool]) -> None:
     """Let the store do what it is asked and lose answers: the connection returns nothing further.
 
--- a/tests/processes/test_checker.py
+++ b/tests/processes/test_checker.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 import pytest
+from script.tools.mesh_soak.checker import Checker
+from script.tools.mesh_soak.models import Departure, Disruption, Record, Sample, Version, Work
 
-from .soak.checker import Checker
-from .soak.models import Departure, Disruption, Record, Sample, Version, Work
-from .support import make_route
+from .documents import make_route
 
 KEY, HOST = "k1", "127.0.0.1"
 
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from .documents import make_route
 from .links import LinkedFleet
 from .support import (
     CONFIG_APPLY_S,
@@ -15,7 +16,6 @@
     Fleet,
     Machine,
     lose_answers,
-    make_route,
 )
 
 pytestmark = pytest.mark.anyio
@@ -177,7 +177,7 @@
     fleet = linked_fleet
     await start_fleet(fleet)
     fleet.store.http.silence_connections()
-    fleet.links.silence()
+    fleet.silence_links()
     silenced_s = time.monotonic()
     await asyncio.sleep(wait_s)
     fleet.publish(routes=MOVED)
--- a/tests/processes/test_memory.py
+++ b/tests/processes/test_memory.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from .support import Fleet, Machine, make_route
+from .documents import make_route
+from .support import (
+    Fleet,
+    Machine,
+)
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes/test_odd_peers.py
+++ b/tests/processes/test_odd_peers.py
@@ -26,7 +26,13 @@
 )
 from wisteriaproxy.mesh.ranges import WHOLE_MAX
 
-from .support import CONFIG_APPLY_S, PEERS, Fleet, Machine, make_route
+from .documents import make_route
+from .support import (
+    CONFIG_APPLY_S,
+    PEERS,
+    Fleet,
+    Machine,
+)
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -9,7 +9,12 @@
 
 from wisteriaproxy.mesh.ranges import COUNT_MAX, WHOLE_MAX
 
-from .support import CONFIG_APPLY_S, STABLE_WINDOW_S, Fleet, make_route
+from .documents import make_route
+from .support import (
+    CONFIG_APPLY_S,
+    STABLE_WINDOW_S,
+    Fleet,
+)
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes/test_smoke.py
+++ b/tests/processes/test_smoke.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from .support import CONFIG_APPLY_S, Fleet, make_route
+from .documents import make_route
+from .support import (
+    CONFIG_APPLY_S,
+    Fleet,
+)
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -3,8 +3,7 @@
 import argparse
 
 import pytest
-
-from .soak.__main__ import run
+from script.tools.mesh_soak.__main__ import run
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -11,7 +11,13 @@
 from tests.platform.standins import Reply, Request
 from tests.platform.support import HOST
 
-from .support import CALLERS, Fleet, KeptClient, Machine, make_route
+from .clients import KeptClient
+from .documents import make_route
+from .support import (
+    CALLERS,
+    Fleet,
+    Machine,
+)
 
 pytestmark = pytest.mark.anyio
 
