--- a/libs/daemon/src/wisteriaproxy/task_keeper.py
+++ b/libs/daemon/src/wisteriaproxy/task_keeper.py
@@ -12,7 +12,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 RESTART_FIRST_S = 0.1
+"""Pause before a failed task is started again; doubled with each failure in a row."""
 RESTART_MAX_S = 5.0
+"""Longest pause, and the time without a failure after which the pause is the first one again."""
 
 
 class Spawner(Protocol):
--- a/libs/wire/src/wisteria_wire/budget.py
+++ b/libs/wire/src/wisteria_wire/budget.py
@@ -3,6 +3,7 @@
 import attrs
 
 UNBOUNDED_BYTES = 2**62
+"""Limit of a daemon whose memory is not bounded."""
 
 
 @attrs.define(eq=False)
--- a/script/tools/mesh_soak/__main__.py
+++ b/script/tools/mesh_soak/__main__.py
@@ -15,7 +15,8 @@
 
 from .checker import Case, Checker
 from .disruptions import Disruptor
-from .world import SoakFleet, World
+from .fleet import SoakFleet
+from .world import World
 
 LINES_SHOWN = 16
 BEFORE_S, AFTER_S = 8.0, 3.0
--- a/script/tools/mesh_soak/world.py
+++ b/script/tools/mesh_soak/world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import hashlib
 import itertools
 import random
 import resource
@@ -14,16 +13,18 @@
 from tests.platform.standins import STORE, Reply, Request, Store
 from tests.platform.support import HOST
 from tests.processes.documents import make_route
+from tests.processes.links import make_inner
 from tests.processes.relay import Relay
 from tests.processes.support import (
     CALLERS,
     PEERS,
     READY,
-    Fleet,
     Machine,
 )
 
+from .answers import check_answer, make_body, sign
 from .clients import Clients
+from .fleet import SoakFleet
 from .models import Departure, Disruption, Record, Sample, Version, Work
 
 SERVICES = ("yieldview", "animalhealth", "reportdesk", "supplyorder")
@@ -49,32 +50,6 @@
 LATE_S = 0.2
 
 
-@attrs.define(eq=False)
-class SoakFleet(Fleet):
-    """Fleet whose daemons reach the store, and maybe each other, through relays.
-
-    Parameters
-    ----------
-    has_links : bool
-        Whether a relay listens for the peers of each daemon.
-    """
-
-    has_links: bool = False
-
-    def listen_host(self, host: str) -> str:
-        """Return where a daemon listens for its peers behind its relay."""
-        return host.replace("127.78.", "127.79.")
-
-    def _make_settings(self, host: str, service: str, zone: str) -> str:
-        text = super()._make_settings(host, service, zone)
-        relay = f"{self.host(100 + int(host.rpartition('.')[2]))}:{STORE}"
-        text = text.replace(f"{self.host(1)}:{STORE}", relay)
-        if self.has_links:
-            peers = f"{self.listen_host(host)}:{PEERS}"
-            text = text.replace(f'peers = "{host}:{PEERS}"', f'peers = "{peers}"')
-        return text
-
-
 @attrs.define(eq=False)
 class World:
     """Everything outside of the daemons.
@@ -128,7 +103,7 @@
             await relay.async_setup()
             host = self.fleet.host(10 + number)
             if self.fleet.has_links:
-                link = Relay(host, PEERS, (self.fleet.listen_host(host), PEERS))
+                link = Relay(host, PEERS, (make_inner(host), PEERS))
                 await link.async_setup()
                 self.links.append(link)
             self.relays[host] = relay
@@ -454,30 +429,5 @@
     return 0.0
 
 
-def check_answer(sample: Sample) -> None:
-    """Note what is wrong with an answer, and forget its body."""
-    if sample.end == "answered":
-        parts = sample.signed.split(".")
-        if sample.signed:
-            if len(parts) != 3 or sign(sample.attempt, parts[2], sample.body) != parts[0]:
-                sample.faults.append("body or signature of another answer")
-            elif parts[1] != str(sample.status):
-                sample.faults.append(f"status {sample.status}, the server gave {parts[1]}")
-        elif sample.status < 300:
-            sample.faults.append("success without a signature")
-        if sample.owner not in ("", sample.attempt):
-            sample.faults.append(f"answer of {sample.owner}")
-    sample.body = b""
-
-
-def make_body(attempt: str, instance: str, size: int) -> bytes:
-    line = f"{attempt} {instance} ".encode()
-    return (line * (size // len(line) + 1))[:size]
-
-
-def sign(attempt: str, instance: str, body: bytes) -> str:
-    return hashlib.blake2b(body, key=f"{attempt}{instance}".encode(), digest_size=8).hexdigest()
-
-
 def _now() -> float:
     return time.monotonic()
