--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -50,6 +50,7 @@
 
 
 def test_a_valid_entry_is_decoded() -> None:
+    """Guards against checks of ranges that refuse sound entries."""
     found = decode_server(make_item(json.dumps(ENTRY).encode()), 1, 2)
     assert found is not None
     assert (found.vm.host, found.vm.slots, found.vm.cold_ms) == ("10.1.0.26", 8, 1_500)
--- a/tests/processes/test_checker.py
+++ b/tests/processes/test_checker.py
@@ -57,12 +57,14 @@
 def test_a_request_runs_where_a_version_that_may_be_in_force_sends_it(
     record: Record, sent_s: float, service: str, rules: list[str]
 ) -> None:
+    """Guards against a checker that overlooks a wrong service or an old version."""
     record.samples = [make_sample(sent_s)]
     record.work = [make_work(sent_s + 0.05, service)]
     assert list_rules(record) == rules
 
 
 def test_a_machine_out_of_touch_may_be_late(record: Record) -> None:
+    """Guards against a checker that blames a machine for a disruption."""
     record.samples = [make_sample(20.0)]
     record.work = [make_work(20.05, "old")]
     record.disruptions = [Disruption("kill", frozenset((HOST,)), 18.0, 18.5)]
@@ -74,6 +76,7 @@
 
 
 def test_a_process_does_not_go_back_to_an_older_version(record: Record) -> None:
+    """Guards against a checker that overlooks a version that comes back older."""
     record.disruptions = [Disruption("late", None, 0.0, 30.0)]
     record.samples = [make_sample(10.5, attempt="a0"), make_sample(14.0)]
     record.work = [make_work(10.5, "new", attempt="a0"), make_work(14.05, "old")]
@@ -84,6 +87,7 @@
 
 @pytest.mark.parametrize(("status", "rules"), [(404, ["CONFIG"]), (503, []), (401, ["DENIED"])])
 def test_a_route_that_was_added_is_served(status: int, rules: list[str]) -> None:
+    """Guards against a checker that overlooks an added route that is refused."""
     versions = [make_version(1, 0.0, "old"), make_version(2, 5.0, "old", "lookup", "added")]
     sample = make_sample(8.0, path="/added/1", status=status, signed="")
     assert list_rules(Record(versions=versions, samples=[sample])) == rules
@@ -96,6 +100,7 @@
 def test_an_order_runs_once_and_not_if_it_is_refused(
     record: Record, status: int, runs: int, rules: list[str]
 ) -> None:
+    """Guards against a checker that overlooks a second run, or one after a refusal."""
     signed = "x" if status == 200 else ""
     record.samples = [make_sample(5.0, is_repeatable=False, status=status, signed=signed)]
     record.work = [make_work(5.05, "old") for _ in range(runs)]
@@ -106,6 +111,7 @@
 def test_a_server_that_leaves_gets_nothing_after_its_time(
     record: Record, at_s: float, rules: list[str]
 ) -> None:
+    """Guards against a checker that overlooks requests to a server that left."""
     record.departures = [Departure("i-1", HOST, 5.0, "draining")]
     record.samples = [make_sample(at_s - 0.1)]
     record.work = [make_work(at_s, "old")]
@@ -121,6 +127,7 @@
 def test_a_planned_stop_loses_no_request(
     record: Record, end: str, run_end: str, rules: list[str]
 ) -> None:
+    """Guards against a checker that overlooks requests lost at a planned stop."""
     record.disruptions = [Disruption("term", frozenset((HOST,)), 5.2, 6.0, is_planned=True)]
     record.stops = [(HOST, 5.2, 0, 0.8)]
     status = 200 if end == "answered" else 0
@@ -132,6 +139,7 @@
 
 
 def test_kept_connections_are_not_closed_unanswered(record: Record) -> None:
+    """Guards against a checker that overlooks requests lost on kept connections."""
     ids = [f"a{number}" for number in range(4)]
     record.samples = [
         make_sample(5.0, attempt=one, end="closed", status=0, number=1, written_s=float("inf"))
@@ -144,6 +152,7 @@
 
 
 def test_processes_neither_end_nor_grow(record: Record) -> None:
+    """Guards against a checker that overlooks processes that end or grow."""
     record.ends = [(HOST, 5.0, 1)]
     record.memory_mb = {HOST: 301.0}
     assert list_rules(record) == ["FAULT", "FAULT"]
