Test: deliver the unread answer so that its end arrives in one read

Its server wrote 312,144 bytes at once. Reading pauses above 262,144 bytes, so the body only ends if its last bytes arrive together with those that cross the limit, which depends on how TCP splits them.

Shown: with the first part 1 or 10,000 bytes above the limit and the rest 50 ms later, the client pauses at 262,145 and 272,144 bytes, as it should, and the old form of the test fails. With the first part at the limit or 1,000 bytes below it the body ends. Not a fault of the product.

The server now writes up to the limit, waits until that has arrived, and writes the other 50,000 bytes, which fit into one segment. Sizes and assertions are the same. Without the lines of that it guards, both forms still fail.

--- a/tests/wire/test_http_client.py
+++ b/tests/wire/test_http_client.py
@@ -82,17 +82,26 @@
 def test_a_request_behind_an_unread_answer_on_its_connection_is_answered(
     run_loop: RunLoop, is_cancelled: bool
 ) -> None:
+    is_window_full = asyncio.Event()
+
     async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while await reader.readline():
             await reader.readuntil(b"\r\n\r\n")
             size = WINDOW_BYTES + 50_000
-            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + bytes(size))
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
+            writer.write(bytes(WINDOW_BYTES))
+            await is_window_full.wait()
+            # a single segment: reading is paused once a part of it has arrived
+            writer.write(bytes(size - WINDOW_BYTES))
 
     async def body() -> None:
         server, pool = await serve(answer)
         unread = await pool.send(REQUEST)
         assert isinstance(unread, HttpCall)
         with anyio.fail_after(2):
+            while unread.answer.body.received_bytes < WINDOW_BYTES:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            is_window_full.set()
             while not unread.answer.body.is_ended:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
         if is_cancelled:
