Compute the length of a rate-limited queue for rates of any size

Cause: `AdmissionGate._max_queued` converts calls per second times 300 to a whole number before it takes the minimum with the slots' queue. Above 6e305 the product is infinite, and `int` raises OverflowError: in each tick of the gate, so that its task failed and was started again with growing pauses, and in each offer of a call that had to wait.

The rate may come from three places: the configuration (`cold_per_s`), the settings (`cold_per_s` times `cold_overage`), and the `Server-Limit` header of a single answer, which no version takes back. With `Server-Limit: 1e308` the gate's task failed on all three daemons.

Ruled out: the token buckets (their arithmetic holds for infinite rates), `capacity` and `Retry-After`, which are bounded as floats.

Fix: the minimum is taken first, so that the conversion only sees numbers up to the slots' queue.

The tests failed before: 4 of 6 forms of the gate's one with "cannot convert float infinity to integer", the one of the configuration with statuses {200, 503}, the one of the header with `task_failures_total{task="gate"} 1` on each daemon. They pass now.

--- a/libs/admission/src/wisteria_admission/gate.py
+++ b/libs/admission/src/wisteria_admission/gate.py
@@ -391,7 +391,8 @@
         per_s = self.rate_per_s(now_ms)
         if per_s is None:
             return slots_queue
-        return min(slots_queue, int(per_s * MAX_TOKEN_QUEUE_MS / MS_PER_S))
+        # bounded before it is converted, as the product may be infinite
+        return int(min(slots_queue, per_s * MAX_TOKEN_QUEUE_MS / MS_PER_S))
 
     def _refuse_deadline(self, now_ms: int, ticket: Ticket) -> Refusal:
         if ticket.deadline_at_ms <= now_ms:
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -1,9 +1,13 @@
 """Unit tests of the admission gate under overload."""
 
+import math
 from collections.abc import Callable
 
+import pytest
+
 from wisteria_admission import (
     AdmissionGate,
+    ColdStartLimit,
     Dispatch,
     FixedLimiter,
     Outcome,
@@ -132,3 +136,21 @@
     verdict = AdmissionGate(4).offer(20, make_ticket(1, deadline_at_ms=20)).verdict
     assert isinstance(verdict, Refusal)
     assert verdict.code is ResultCode.DEADLINE_PASSED
+
+
+@pytest.mark.parametrize("per_s", [1e305, 1e308, math.inf])
+@pytest.mark.parametrize("is_named", [True, False])
+def test_a_rate_limit_beyond_all_numbers_limits_nothing(
+    make_ticket: TicketMaker, per_s: float, is_named: bool
+) -> None:
+    """Guards against a length of the queue that can't be computed, which stopped the gate."""
+    gate = AdmissionGate(4, limiter=FixedLimiter())
+    if is_named:
+        gate.note_rate_limit(0, per_s)
+    else:
+        gate.cold_start.set_limit(0, ColdStartLimit(per_s, 20.0, 5_000))
+    verdicts = [gate.offer(1_000, make_ticket(call)).verdict for call in range(20)]
+    assert verdicts[:3] == [Dispatch(call) for call in range(3)]
+    assert all(isinstance(verdict, Queued) for verdict in verdicts[3:16])
+    assert gate.tick(1_050) == []
+    assert gate.release(1_060, 0, Outcome.SUCCESS, 60) == [Dispatch(3)]
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -14,6 +14,7 @@
     CONFIG_APPLY_S,
     STABLE_WINDOW_S,
     Fleet,
+    Machine,
 )
 
 pytestmark = pytest.mark.anyio
@@ -119,3 +120,53 @@
     assert not {machine.name: machine.ends for machine in machines if machine.ends}
     failures = [await fleet.read_metrics(machine) for machine in machines]
     assert not any("task_failures_total{" in page for page in failures)
+
+
+async def send_calls(fleet: Fleet, machines: list[Machine], count: int = 6) -> list[int]:
+    """Send calls of both routes to each machine at once, and return the statuses."""
+    replies = await asyncio.gather(
+        *(
+            fleet.call(machine, path, method)
+            for machine in machines
+            for path, method in (("/yields/1", "GET"), ("/orders/1", "POST"))
+            for _ in range(count)
+        )
+    )
+    return [reply.status for reply in replies]
+
+
+async def find_failures(fleet: Fleet, machines: list[Machine]) -> list[str]:
+    """Return the ends of processes, and the failures of tasks and calls that daemons report."""
+    failures = [f"{one.name} ended: {one.ends}" for one in machines if one.ends]
+    for machine in machines:
+        page = await fleet.read_metrics(machine)
+        failures += [line for line in page.splitlines() if "task_failures_total{" in line]
+        for event in ("serving_failed", "entry_failed"):
+            if machine.count_events(event):
+                failures.append(f"{machine.name}: {event}")
+    return failures
+
+
+async def test_a_cold_rate_beyond_all_numbers_stops_no_gate(fleet: Fleet) -> None:
+    """Guards against a rate of the configuration that ended the gate's task until the next one."""
+    machines = await fleet.add([("yield", "a"), ("order", "a"), ("yield", "b")], is_ready=False)
+    cold = {"health_path": "", "max_connections": 600, "cold_per_s": 1e308, "cold_start_s": 3}
+    fleet.publish(services=[cold | {"name": name} for name in ("yield", "order")])
+    for machine in machines:
+        await fleet.wait_ready(machine)
+        fleet.register(machine, cold_remaining_s=3, sequence=2)
+    await asyncio.sleep(1)
+    statuses = await send_calls(fleet, machines)
+    assert (set(statuses), await find_failures(fleet, machines)) == ({200}, [])
+
+
+async def test_a_named_rate_beyond_all_numbers_stops_no_gate(fleet: Fleet) -> None:
+    """Guards against a rate in an answer that ended the gate's task and failed other calls."""
+    fleet.publish()
+    machines = await fleet.add([("yield", "a"), ("order", "a"), ("yield", "b")])
+    for machine in machines:
+        machine.upstream.headers = {"Server-Limit": "1e308"}
+    statuses = await send_calls(fleet, machines)
+    await asyncio.sleep(0.2)
+    statuses += await send_calls(fleet, machines)
+    assert (set(statuses), await find_failures(fleet, machines)) == ({200}, [])
