Bring the numbers of a configuration into the ranges that daemons use

What callers saw, with three daemons as processes and 36 calls a version: after `idle_timeout_s` of -1 every connection was closed without an answer (36 of 36); after `max_connections` or `timeout_s` of 0 every call got 503. A version with a time of 1e306 s, which stands for no limit, was refused as a whole, so that its routes never came into force (timeout_s, target_latency_s, cold_start_s, idle_timeout_s).

Cause: the configuration was decoded with bare conversions (`int`, `float`, `round`). What the others can do was left to where they are used: timers, pools, limiters. Other formats of the document are validated; the platform's was not.

Fix: each number is read in one place. Above the highest that a daemon can use it means the same as that one, so the version is taken.

--- a/libs/config/src/wisteria_config/__init__.py
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -2,7 +2,13 @@
 
 from .canonical import canonical_bytes, document_digest
 from .changes import describe_changes
-from .const import MAX_DOCUMENT_BYTES, PUBLIC_ACCOUNT
+from .const import (
+    MAX_BODY_BYTES,
+    MAX_BURST_CALLS,
+    MAX_DOCUMENT_BYTES,
+    MAX_RATE_PER_S,
+    PUBLIC_ACCOUNT,
+)
 from .models import (
     Account,
     Document,
@@ -20,7 +26,10 @@
 from .versions import VersionOrder, VersionStamp, compare_versions
 
 __all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_BURST_CALLS",
     "MAX_DOCUMENT_BYTES",
+    "MAX_RATE_PER_S",
     "PUBLIC_ACCOUNT",
     "Account",
     "Document",
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,12 +1,15 @@
 """Entries and answers of the store with any content are decoded or refused."""
 
 import json
+from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from wisteria_config import MAX_BURST_CALLS, MAX_RATE_PER_S, Document
 from wisteria_core import VmState
 from wisteriaproxy.control import decode_control, encode_control
 from wisteriaproxy.mesh.directory import EntryChanges
@@ -131,6 +134,80 @@
     assert (route.retry_allowance, route.deadline_ms) == (COUNT_MAX, TIME_MAX_MS)
 
 
+TABLES = {
+    "routes": ("timeout_s", "target_latency_s", "max_attempts", "priority"),
+    "services": ("max_connections", "cold_per_s", "cold_start_s"),
+    "tenants": ("rate_per_s", "burst", "priority"),
+    "limits": ("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s"),
+}
+NUMBERS = [(table, name) for table, names in TABLES.items() for name in names]
+
+
+def change_config(table: str, name: str, value: object) -> bytes:
+    """Return a configuration with another value of a field, in each entry of a list."""
+    config = make_config()
+    for entry in config[table] if isinstance(config[table], list) else [config[table]]:
+        entry[name] = value
+    return json.dumps(config).encode()
+
+
+def list_numbers(document: Document) -> Iterator[tuple[str, float]]:
+    """Yield the numbers of a document with the names of their fields."""
+    parts = (*document.routes, *document.services, *document.accounts, document.limits)
+    for part in parts:
+        for field in attrs.fields(type(part)):
+            value = getattr(part, field.name)
+            if isinstance(value, int | float):
+                yield field.name, value
+
+
+@pytest.mark.parametrize(("table", "name"), NUMBERS)
+@pytest.mark.parametrize("value", [2**63, 1e20, 1e305, 1.7e308])
+def test_a_number_without_bounds_stands_for_the_highest(
+    table: str, name: str, value: float
+) -> None:
+    """Guards against a limit that stands for none and keeps a version from coming into force."""
+    found = decode_document(change_config(table, name, value), 0.1, ["south"])
+    assert found is not None
+    for field, number in list_numbers(found.document):
+        assert 0 <= number <= TIME_MAX_MS, field
+    for rate in found.rates.values():
+        assert rate.rate <= MAX_RATE_PER_S
+        assert rate.burst <= MAX_BURST_CALLS
+
+
+@pytest.mark.parametrize(("table", "name"), NUMBERS)
+@pytest.mark.parametrize("value", [-1, -1e308, True, "7", [], {}])
+def test_a_number_without_a_meaning_refuses_the_version(
+    table: str, name: str, value: object
+) -> None:
+    """Guards against a version that is in force and closes connections or refuses every call."""
+    assert decode_document(change_config(table, name, value), 0.1, ["south"]) is None
+
+
+@pytest.mark.parametrize(
+    ("table", "name"),
+    [("routes", "timeout_s"), ("routes", "max_attempts"), ("services", "max_connections")],
+)
+def test_a_limit_of_0_that_lets_nothing_through_refuses_the_version(table: str, name: str) -> None:
+    """Guards against a version in which no call of a route or service can succeed."""
+    assert decode_document(change_config(table, name, 0), 0.1, ["south"]) is None
+    assert decode_document(change_config(table, name, 1e-9), 0.1, ["south"]) is not None
+
+
+@pytest.mark.parametrize("value", [0, None])
+@pytest.mark.parametrize("name", TABLES["limits"])
+def test_a_limit_that_is_not_stated_has_its_default(name: str, value: object) -> None:
+    """Guards against a limit of 0 where the operators state none."""
+    found = decode_document(change_config("limits", name, value), 0.1, ["south"])
+    assert found is not None
+    config = make_config()
+    del config["limits"][name]
+    without = decode_document(json.dumps(config).encode(), 0.1, ["south"])
+    assert without is not None
+    assert found.document.limits == without.document.limits
+
+
 @seed(35)
 @settings(max_examples=200, deadline=None, database=None)
 @given(st.lists(st.dictionaries(st.sampled_from(["key", "value", "revision"]), VALUES)))
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -9,7 +9,7 @@
 
 from wisteriaproxy.mesh.ranges import COUNT_MAX, WHOLE_MAX
 
-from .documents import make_route
+from .documents import make_config, make_route
 from .support import (
     CONFIG_APPLY_S,
     STABLE_WINDOW_S,
@@ -170,3 +170,38 @@
     await asyncio.sleep(0.2)
     statuses += await send_calls(fleet, machines)
     assert (set(statuses), await find_failures(fleet, machines)) == ({200}, [])
+
+
+NUMBERS = {
+    "routes": ("timeout_s", "target_latency_s", "max_attempts", "priority"),
+    "services": ("max_connections", "cold_per_s", "cold_start_s"),
+    "tenants": ("rate_per_s", "burst", "priority"),
+    "limits": ("max_header_bytes", "max_body_bytes", "header_timeout_s", "idle_timeout_s"),
+}
+
+
+def change_numbers(table: str, value: float) -> dict[str, Any]:
+    """Return a table of the configuration with all of its numbers changed."""
+    found = make_config(1)[table]
+    changes = dict.fromkeys(NUMBERS[table], value)
+    return {table: [one | changes for one in found] if table != "limits" else found | changes}
+
+
+async def read_versions(fleet: Fleet, machines: list[Machine]) -> set[int]:
+    return {(await fleet.read_status(machine)).get("version", 0) for machine in machines}
+
+
+async def test_numbers_of_the_configuration_fail_no_call(fleet: Fleet) -> None:
+    """Guards against a number that is in force and closes connections, or blocks its version."""
+    fleet.publish()
+    machines = await fleet.add([("yield", "a"), ("order", "a"), ("yield", "b")])
+    in_force = fleet.version
+    for table in NUMBERS:
+        for value, is_taken in ((1.7e308, True), (-1.0, False)):
+            fleet.publish(**change_numbers(table, value))
+            in_force = fleet.version if is_taken else in_force
+            await asyncio.sleep(CONFIG_APPLY_S)
+            assert await read_versions(fleet, machines) == {in_force}, (table, value)
+            statuses = await send_calls(fleet, machines, 2)
+            assert set(statuses) == {200}, (table, value)
+    assert await find_failures(fleet, machines) == []
