Keep the proportions of weights that aren't whole numbers

Cause: the weights were cut to whole numbers, here 0 and 0. `TrafficSplitter.choose` requires one above 0 and raised ValueError for each call. The same holds for a split whose weights are all 0, which has no meaning, and negative weights took calls from the other parts.

Fix: weights that are fractions, or higher than a document may hold, are scaled to whole ones; a part with a weight keeps at least 1 of 1,000,000. A split in which no weight is above 0, or one is negative or no number, refuses the version.

Ruled out: letting the splitter fall back to equal shares; it would hide an error of the operators.

--- a/libs/config/src/wisteria_config/__init__.py
+++ b/libs/config/src/wisteria_config/__init__.py
@@ -7,6 +7,7 @@
     MAX_BURST_CALLS,
     MAX_DOCUMENT_BYTES,
     MAX_RATE_PER_S,
+    MAX_SPLIT_WEIGHT,
     PUBLIC_ACCOUNT,
 )
 from .models import (
@@ -30,6 +31,7 @@
     "MAX_BURST_CALLS",
     "MAX_DOCUMENT_BYTES",
     "MAX_RATE_PER_S",
+    "MAX_SPLIT_WEIGHT",
     "PUBLIC_ACCOUNT",
     "Account",
     "Document",
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,6 +1,7 @@
 """Entries and answers of the store with any content are decoded or refused."""
 
 import json
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,11 +12,13 @@
 
 from wisteria_config import MAX_BURST_CALLS, MAX_RATE_PER_S, Document
 from wisteria_core import VmState
+from wisteria_routing import TrafficSplitter
 from wisteriaproxy.control import decode_control, encode_control
 from wisteriaproxy.mesh.directory import EntryChanges
 from wisteriaproxy.mesh.entries import StorePosition
 from wisteriaproxy.mesh.messages import DocumentAsk
 from wisteriaproxy.mesh.ranges import COUNT_MAX, TIME_MAX_MS
+from wisteriaproxy.plan import list_parts
 from wrdsc.decode import decode_document, decode_evacuation, decode_server
 from wrdsc.store import Item, _decode_items
 
@@ -195,6 +198,43 @@
     assert decode_document(change_config(table, name, 1e-9), 0.1, ["south"]) is not None
 
 
+def split_route(weights: list[object]) -> bytes:
+    """Return a configuration whose routes are split with these weights."""
+    parts = [{"service": f"s-{number}", "weight": one} for number, one in enumerate(weights)]
+    return change_config("routes", "traffic_split", parts)
+
+
+@pytest.mark.parametrize(
+    ("weights", "shares"),
+    [
+        ([90, 10], [0.9, 0.1]),
+        ([1, 0], [1, 0]),
+        ([0.5, 0.5], [0.5, 0.5]),
+        ([0.75, 0.25, 0], [0.75, 0.25, 0]),
+        ([1e308, 1e308], [0.5, 0.5]),
+        ([3e20, 1e20], [0.75, 0.25]),
+        ([1e308, 1e-300], [1, 0]),
+    ],
+)
+def test_weights_of_any_size_keep_their_proportions(
+    weights: list[object], shares: list[float]
+) -> None:
+    """Guards against weights that are cut to whole numbers, so that each call of a route fails."""
+    found = decode_document(split_route(weights), 0.1, ["south"])
+    assert found is not None
+    parts = list_parts(found.document.routes[0])
+    assert [weight > 0 for _, weight in parts] == [weight != 0 for weight in weights]
+    splitter = TrafficSplitter()
+    chosen = Counter(splitter.choose("yields", parts) for _ in range(1_000))
+    assert [chosen[service] / 1_000 for service, _ in parts] == pytest.approx(shares, abs=0.002)
+
+
+@pytest.mark.parametrize("weights", [[0, 0], [-1, 2], [True, 1], ["1", 1], [None, 1], [[], 1]])
+def test_weights_that_choose_nothing_refuse_the_version(weights: list[object]) -> None:
+    """Guards against a version in force in which each call of a route fails."""
+    assert decode_document(split_route(weights), 0.1, ["south"]) is None
+
+
 @pytest.mark.parametrize("value", [0, None])
 @pytest.mark.parametrize("name", TABLES["limits"])
 def test_a_limit_that_is_not_stated_has_its_default(name: str, value: object) -> None:
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -205,3 +205,16 @@
             statuses = await send_calls(fleet, machines, 2)
             assert set(statuses) == {200}, (table, value)
     assert await find_failures(fleet, machines) == []
+
+
+async def test_fractional_weights_split_the_calls_of_a_route(fleet: Fleet) -> None:
+    """Guards against weights of which none is left, so that every call of the route got 502."""
+    split = [{"service": "yield", "weight": 0.5}, {"service": "order", "weight": 0.5}]
+    route = make_route("yields", "yield", "idempotent", traffic_split=split)
+    fleet.publish(routes=[route, make_route("orders", "order", "non_idempotent")])
+    machines = await fleet.add([("yield", "a"), ("order", "a")])
+    statuses = await send_calls(fleet, machines)
+    assert set(statuses) == {200}
+    targets = [(run.request.target, run.service) for run in fleet.runs]
+    assert targets.count(("/yields/1", "yield")) == targets.count(("/yields/1", "order")) == 6
+    assert await find_failures(fleet, machines) == []
