Refuse settings of another type, and numbers that aren't finite

What operators saw: after `strict_revocation = 1` in the settings file and a SIGHUP the daemon ended with status 1; with `retry_slack = inf` it started and applied no version; with `memory_mb = 1e308` it didn't start.

Cause: a setting of type bool goes through the check of whole numbers, which looked up the name of its type in a table without one: KeyError, which no handler expects. The reload runs in the task that waits for signals, so the process ended. Numbers with a fraction weren't checked at all: text and truth values were converted, infinite ones taken, and they fail where they are used (`int(retry_slack / daemons)`, `round` of the memory).

Fix: each type is checked strictly, numbers must be finite, and the budget for requests is bounded before it is rounded.

--- a/libs/daemon/src/wisteriaproxy/mesh/memory.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/memory.py
@@ -1,5 +1,7 @@
 """Memory of a daemon that requests may take."""
 
+from wisteria_wire import UNBOUNDED_BYTES
+
 _BYTES_PER_MB = 1_048_576
 _BASE_MB = 70
 """Memory of a daemon that holds no long requests."""
@@ -10,4 +12,5 @@
 
 def find_budget(memory_mb: float) -> int:
     """Return how many bytes of requests fit into the memory of the process."""
-    return round(max(0.0, memory_mb - _BASE_MB) * _BYTES_PER_MB / _COPIES)
+    budget = max(0.0, memory_mb - _BASE_MB) * _BYTES_PER_MB / _COPIES
+    return round(min(budget, UNBOUNDED_BYTES))
--- a/libs/daemon/src/wisteriaproxy/settings.py
+++ b/libs/daemon/src/wisteriaproxy/settings.py
@@ -1,5 +1,6 @@
 """Settings of the daemon: a TOML file read once at start; all errors in it are reported."""
 
+import math
 import tomllib
 from pathlib import Path
 from typing import Any, TypeVar, cast
@@ -189,13 +190,20 @@
     return value
 
 
-_TYPE_NAMES = {int: "a whole number", str: "a string"}
+_TYPE_NAMES = {int: "a whole number", str: "a string", bool: "true or false"}
+
+
+def _structure_number(value: Any, _type: type) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError(f"{value!r} is not a finite number")
+    return float(value)
 
 
 def _make_converter(folder: Path) -> cattrs.Converter:
     converter = cattrs.Converter()
-    for plain in (int, str):
+    for plain in _TYPE_NAMES:
         converter.register_structure_hook(plain, _structure_strictly)
+    converter.register_structure_hook(float, _structure_number)
     converter.register_structure_hook(
         Path, lambda value, _: folder / _structure_strictly(value, str)
     )
--- a/libs/wire/src/wisteria_wire/__init__.py
+++ b/libs/wire/src/wisteria_wire/__init__.py
@@ -1,7 +1,7 @@
 """Framed, authenticated links between daemons and HTTP on the call path."""
 
 from .body import BodyStream, collect_body
-from .budget import ByteBudget
+from .budget import UNBOUNDED_BYTES, ByteBudget
 from .const import CALLER_BACKLOG, INLINE_BODY_BYTES, MAX_REQUEST_BODY_BYTES
 from .http_client import CONNECT_FAILED, HttpCall, HttpClientPool, HttpResponse, encode_request
 from .http_server import CallerLimits, HttpExchange, HttpRequest, HttpServerConnection
@@ -17,6 +17,7 @@
     "CONNECT_FAILED",
     "INLINE_BODY_BYTES",
     "MAX_REQUEST_BODY_BYTES",
+    "UNBOUNDED_BYTES",
     "AnswerHead",
     "BodyStream",
     "ByteBudget",
--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -71,6 +71,8 @@
         b"[bounds]\ngrace_s = 1" + b"0" * 400,
         b"a = " + b"[" * 5000,
         b"a = 1" + b"0" * 5000,
+        b"[bounds]\nstrict_revocation = 1",
+        b"[bounds]\nretry_slack = inf",
     ],
 )
 async def test_odd_settings_are_refused_and_the_daemon_goes_on(
--- a/tests/wisteriaproxy/test_settings.py
+++ b/tests/wisteriaproxy/test_settings.py
@@ -4,6 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wisteria_wire import UNBOUNDED_BYTES
+from wisteriaproxy.mesh.memory import find_budget
 from wisteriaproxy.mesh.settings import MeshSettings
 from wisteriaproxy.settings import (
     Settings,
@@ -164,3 +166,39 @@
         "bounds.grace_s",
         "bounds.odd",
     }
+
+
+BOUNDS = (
+    "grace_s",
+    "memory_mb",
+    "retry_ratio",
+    "retry_slack",
+    "rate_overage",
+    "rate_slack",
+    "cold_overage",
+    "cold_slack",
+    "strict_revocation",
+)
+
+
+@pytest.mark.parametrize("key", BOUNDS)
+@pytest.mark.parametrize("value", ["inf", "-inf", "nan", '"7"', "[]", "{}", "1979-05-27"])
+def test_a_bound_of_another_type_is_an_error(key: str, value: str) -> None:
+    """Guards against settings that are taken and end the daemon at its start or a reload."""
+    text = VALID_MESH_SETTINGS.replace("grace_s = 6", f"{key} = {value}")
+    errors = parse_settings_of(MeshSettings, text, Path())
+    assert isinstance(errors, SettingsErrors)
+    assert [error.key for error in errors.errors] == [f"bounds.{key}"]
+
+
+@pytest.mark.parametrize("key", BOUNDS[:-1])
+def test_a_truth_value_is_no_number(key: str) -> None:
+    """Guards against a bound of 1 where the operators wrote true."""
+    text = VALID_MESH_SETTINGS.replace("grace_s = 6", f"{key} = true")
+    assert isinstance(parse_settings_of(MeshSettings, text, Path()), SettingsErrors)
+
+
+def test_any_memory_has_a_budget() -> None:
+    """Guards against a memory that stands for no limit and ends the daemon at its start."""
+    assert find_budget(1e308) == UNBOUNDED_BYTES
+    assert find_budget(1.0) == 0
