Check the texts of a configuration before it comes into force

What callers saw, with three daemons as processes: after a route whose `host` or `prefix` is 7 every call got 502 (36 of 36), the same after a route name that is a list; a tenant with a name outside Latin-1 got 502 for each of its calls; a health path outside Latin-1 ended the task of cold starts, and 30 of 36 calls to servers that had just started got 503. A tenant's name with a line end put a header of its own into requests to the server (36 of 36 were served so). `"public": "false"` opened a route.

Cause: texts and truth values of the configuration were taken unchecked, as the numbers were, and fail where they are used first: in the index of routes (built by the first call), in headers, in the first line of a health check. The version was in force by then.

Fix: types are checked when the document is read; a value of another type refuses the version. Names are sent in headers as UTF-8 and may hold no control characters. Health paths are quoted.

Ruled out: refusing a version for a name outside Latin-1. It is proper, and all other tenants would lose the version with it.

--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -3,26 +3,35 @@
 import json
 from collections import Counter
 from collections.abc import Iterator
+from random import Random
 from typing import Any
+from urllib.parse import quote
 
 import attrs
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from wisteria_admission import AdmissionGate, ColdStartLimit
 from wisteria_config import MAX_BURST_CALLS, MAX_RATE_PER_S, Document
-from wisteria_core import VmState
+from wisteria_core import FailureDomain, ManualClock, Refusal, VmId, VmState
+from wisteria_limits import SharedRateLimiter
 from wisteria_routing import TrafficSplitter
+from wisteria_wire import CallHead, HttpRequest, encode_request
+from wisteria_wire.codec import decode_call, encode_call
 from wisteriaproxy.control import decode_control, encode_control
+from wisteriaproxy.fleet import FleetView
 from wisteriaproxy.mesh.directory import EntryChanges
 from wisteriaproxy.mesh.entries import StorePosition
 from wisteriaproxy.mesh.messages import DocumentAsk
 from wisteriaproxy.mesh.ranges import COUNT_MAX, TIME_MAX_MS
+from wisteriaproxy.mesh.sources import PublishedConfig
 from wisteriaproxy.plan import list_parts
 from wrdsc.decode import decode_document, decode_evacuation, decode_server
+from wrdsc.dialects import PlatformCallerDialect
 from wrdsc.store import Item, _decode_items
 
-from .support import make_config
+from .support import KEY, make_config
 
 KIND_ENTRIES = 64
 POSITION = StorePosition(1, 7)
@@ -235,6 +244,127 @@
     assert decode_document(split_route(weights), 0.1, ["south"]) is None
 
 
+TEXTS = [
+    ("routes", "name"),
+    ("routes", "host"),
+    ("routes", "prefix"),
+    ("routes", "route_type"),
+    ("routes", "service"),
+    ("services", "name"),
+    ("tenants", "name"),
+]
+
+
+@pytest.mark.parametrize(("table", "name"), TEXTS)
+@pytest.mark.parametrize("value", [7, True, None, ["x"], {"x": 1}])
+def test_a_text_of_another_type_refuses_the_version(table: str, name: str, value: object) -> None:
+    """Guards against a version in force with which every call ends with an internal error."""
+    assert decode_document(change_config(table, name, value), 0.1, ["south"]) is None
+
+
+@pytest.mark.parametrize("value", [1, "false", []])
+def test_a_public_route_says_so_by_a_truth_value(value: object) -> None:
+    """Guards against a route that needs no key because a text or number stands for false."""
+    assert decode_document(change_config("routes", "public", value), 0.1, ["south"]) is None
+
+
+@pytest.mark.parametrize("name", ["a\r\nx-admin: 1", "a\n", "\x00", "a\x7f"])
+def test_a_tenant_adds_no_header(name: str) -> None:
+    """Guards against a name that ends its header and begins another one at the server."""
+    assert decode_document(change_config("tenants", "name", name), 0.1, ["south"]) is None
+
+
+def test_keys_are_a_list() -> None:
+    """Guards against a text taken for a list, each letter of which would be a key."""
+    assert decode_document(change_config("tenants", "api_keys", "abc"), 0.1, ["south"]) is None
+
+
+def use_document(found: PublishedConfig) -> None:
+    """Do with a configuration what daemons do with it when it is in force."""
+    document = found.document
+    fleet = FleetView(
+        FailureDomain("south"), Random(1), ManualClock(), lambda _: True, lambda _: True, 50
+    )
+    fleet.apply_document(document)
+    limiter = SharedRateLimiter(VmId("10.0.0.1"))
+    limiter.apply_rates(0, found.rates)
+    dialect = PlatformCallerDialect(lambda: "yield", lambda: False, lambda _: None)
+    splitter = TrafficSplitter()
+    for index, route in enumerate(document.routes):
+        assert route.split == () or splitter.choose(route.id, list_parts(route))
+        # as the client would send it
+        path = quote(route.path, safe="/%")
+        request = make_request(path, route.host.encode("ascii", "ignore").decode())
+        dialect.find_route(document, request)
+        caller = dialect.identify(document, document.routes[index], request)
+        if isinstance(caller, Refusal):
+            continue
+        headers = dialect.make_request_headers(request, caller)
+        head = CallHead(
+            request_id="a1",
+            route_id=route.id,
+            service=route.service,
+            method="GET",
+            target=path,
+            headers=headers,
+            account=caller.account,
+            key_id=caller.key_id,
+            key_digest=caller.key_digest,
+            priority=document.resolve_priority(caller.account, route),
+            rank=0,
+            remaining_ms=route.deadline_ms,
+            allowance=route.retry_allowance,
+            idempotency_key="",
+            config_version=document.version,
+        )
+        assert isinstance(decode_call(encode_call(head)), CallHead)
+        encode_request("GET", head.target, head.headers, b"")
+        limiter.admit(1, caller.account)
+    for service in document.services:
+        encode_request("GET", service.health_path or "/", (), b"")
+        gate = AdmissionGate(2)
+        gate.cold_start.set_limit(
+            0, ColdStartLimit(service.cold_rate_per_s or 1.0, 1.0, service.cold_start_ms)
+        )
+        gate.tick(50)
+
+
+def make_request(target: str, host: str) -> HttpRequest:
+    """Return a request of a client with the key of the configuration."""
+    headers = (
+        ("host", host),
+        ("authorization", f"Bearer {KEY}"),
+        ("wisteriaproxy-attempt-id", "a1"),
+    )
+    return HttpRequest("GET", target, headers, b"", True, exchange=None)  # type: ignore[arg-type]
+
+
+FIELDS = [
+    *((table, name) for table, names in TABLES.items() for name in names),
+    *TEXTS,
+    ("routes", "public"),
+    ("routes", "traffic_split"),
+    ("services", "health_path"),
+    ("tenants", "api_keys"),
+]
+
+
+@seed(38)
+@settings(max_examples=600, deadline=None, database=None)
+@given(st.dictionaries(st.sampled_from(FIELDS), VALUES, min_size=1, max_size=3))
+def test_a_configuration_is_refused_or_can_be_used(
+    changes: dict[tuple[str, str], object],
+) -> None:
+    """Guards against a value that is accepted and fails where it is used."""
+    config = make_config()
+    for (table, name), value in changes.items():
+        for entry in config[table] if table != "limits" else [config[table]]:
+            entry[name] = value
+    found = decode_document(json.dumps(config).encode(), 0.1, ["south"])
+    if found is not None:
+        use_document(found)
+
+
 @pytest.mark.parametrize("value", [0, None])
 @pytest.mark.parametrize("name", TABLES["limits"])
 def test_a_limit_that_is_not_stated_has_its_default(name: str, value: object) -> None:
--- a/tests/processes/test_outside_input.py
+++ b/tests/processes/test_outside_input.py
@@ -218,3 +218,27 @@
     targets = [(run.request.target, run.service) for run in fleet.runs]
     assert targets.count(("/yields/1", "yield")) == targets.count(("/yields/1", "order")) == 6
     assert await find_failures(fleet, machines) == []
+
+
+async def test_texts_of_the_configuration_fail_no_call(fleet: Fleet) -> None:
+    """Guards against a text that no header or path can hold, so that calls got 502."""
+    fleet.publish()
+    machines = await fleet.add([("yield", "a"), ("order", "a")])
+    config = make_config(1)
+    tenants = [one | {"name": "k\u0101inga \u4e16"} for one in config["tenants"]]
+    services = [
+        one | {"health_path": "/\u4e16 x", "cold_per_s": 30, "cold_start_s": 3}
+        for one in config["services"]
+    ]
+    fleet.publish(tenants=tenants, services=services)
+    await asyncio.sleep(CONFIG_APPLY_S)
+    assert await read_versions(fleet, machines) == {fleet.version}
+    assert set(await send_calls(fleet, machines, 2)) == {200}
+    names = {run.request.headers["wisteriaproxy-tenant"] for run in fleet.runs}
+    # the stand-in reads headers as UTF-8
+    assert names == {tenants[0]["name"]}
+    for changes in ({"host": 7}, {"name": ["x"]}, {"prefix": None}):
+        fleet.publish(routes=[one | changes for one in config["routes"]])
+        await asyncio.sleep(CONFIG_APPLY_S)
+        assert set(await send_calls(fleet, machines, 2)) == {200}, changes
+    assert await find_failures(fleet, machines) == []
