Bound the sums of peers' numbers by what a message holds

What members would see: no news from their relay, so that each reads from the store by itself, and no sums of the accounts' calls, once two peers have reported numbers near 2^63.

Cause: control messages hold whole numbers of 64 bits. Each received one fits, their sums need not: `encode_control` refused the message (OUT_OF_RANGE), for as long as the summaries count (2 s), and the calls in it were lost.

Fix: the sums of calls and of daemons end at the ranges of the messages.

--- a/libs/daemon/src/wisteriaproxy/mesh/members.py
+++ b/libs/daemon/src/wisteriaproxy/mesh/members.py
@@ -8,6 +8,7 @@
 from wisteria_limits import AccountDelta
 
 from .const import MEMBER_RETENTION_MS, MEMBER_SILENCE_MS, RELAY_SILENCE_MS
+from .ranges import WHOLE_MAX
 
 
 @attrs.define
@@ -45,8 +46,8 @@
     def add(self, uses: Iterable[AccountDelta]) -> None:
         for use in uses:
             total = self._totals.setdefault(use.account, [0, 0])
-            total[0] += use.offered
-            total[1] += use.admitted
+            total[0] = _bound(total[0] + use.offered)
+            total[1] = _bound(total[1] + use.admitted)
 
     def take(self) -> tuple[AccountDelta, ...]:
         totals, self._totals = self._totals, {}
@@ -157,7 +158,12 @@
         own = self.summarize(now_ms, linked)
         others = [one.summary for one in self._others.values()]
         return DomainSummary(
-            own.daemons + sum(one.daemons for one in others),
+            _bound(own.daemons + sum(one.daemons for one in others)),
             own.leaving.union(*(one.leaving for one in others)),
             own.silent.union(*(one.silent for one in others)),
         )
+
+
+def _bound(total: int) -> int:
+    """Return a sum of what peers have sent, or the nearest one that a message can hold."""
+    return max(-WHOLE_MAX, min(WHOLE_MAX, total))
