Bound the depth of a call chain by what the head of a call holds

What callers would see: 502 with an internal error for a call to another VM that is over 255 calls deep, as in a loop of services whose calls take a few milliseconds each.

Cause: `hops` has 8 bits in the head of a call and grew without bound.

Fix: it stays at 255. The depth only tells child calls from others; deadlines end such a loop.

--- a/libs/daemon/src/wisteriaproxy/plan.py
+++ b/libs/daemon/src/wisteriaproxy/plan.py
@@ -8,6 +8,9 @@
 
 from .identify import Caller
 
+HOPS_MAX = 255
+"""Highest number of ancestors in the head of a call."""
+
 
 @attrs.frozen(eq=False)
 class Plan:
@@ -54,10 +57,10 @@
 
 
 def count_hops(caller: Caller) -> int:
-    """Count known ancestors in the call chain."""
+    """Count known ancestors in the call chain, up to what the head of a call holds."""
     parent_call = caller.parent or caller.likely_parent
     if parent_call is not None:
-        return parent_call.head.hops + 1
+        return min(parent_call.head.hops + 1, HOPS_MAX)
     return 1 if caller.is_internal else 0
 
 
