Refuse ports of thousands of digits in the settings

Cause: the rule of addresses calls `int` on a port of any length, and rules aren't expected to raise.

Fix: `parse_digits` reads whole numbers from texts, up to the digits that fit into 64 bits.

--- a/libs/core/src/wisteria_core/__init__.py
+++ b/libs/core/src/wisteria_core/__init__.py
@@ -1,6 +1,7 @@
-"""Clock, result codes, VM list and hashing shared by every library."""
+"""Clock, result codes, VM list, hashing and numbers in texts, shared by every library."""
 
 from .clock import Clock, ManualClock, read_boot_clock
+from .digits import parse_digits
 from .hashing import digest, rank_by_rendezvous, rendezvous_weight
 from .models import (
     FailureDomain,
@@ -28,6 +29,7 @@
     "VmState",
     "digest",
     "http_status",
+    "parse_digits",
     "rank_by_rendezvous",
     "read_boot_clock",
     "rendezvous_weight",
--- a/libs/daemon/src/wisteriaproxy/settings_rules.py
+++ b/libs/daemon/src/wisteriaproxy/settings_rules.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from wisteria_core import parse_digits
+
 META_DOC = "doc"
 META_RULE = "rule"
 
@@ -59,9 +61,10 @@
 def split_address(value: str) -> tuple[str, int] | None:
     """Split ``10.0.0.1:8080`` into IP address and port; None if invalid."""
     host, _, port = value.rpartition(":")
-    if not _is_ip(host) or not port.isascii() or not port.isdigit():
+    number = parse_digits(port)
+    if not _is_ip(host) or number is None or not 0 < number <= _MAX_PORT:
         return None
-    return (host, int(port)) if 0 < int(port) <= _MAX_PORT else None
+    return host, number
 
 
 NAME = Rule(
