Read deadlines, versions and limits of any number of digits

What callers would see: a `wisteria-deadline-ms` of over 4,300 digits ended its request with an internal error in place of "not a number of ms above 0"; operators got no answer to an audit query with such a limit or one of other digits ("²"); a version header of the configuration service ended the read.

Ruled out by reading: lengths of bodies (the parser of HTTP bounds them), `Content-Range` and `Keep-Alive` (their patterns bound the digits), the epoch of the store (bounded), addresses given to wisteriactl (the pattern bounds them).

--- a/libs/daemon/src/wisteriaproxy/dialect.py
+++ b/libs/daemon/src/wisteriaproxy/dialect.py
@@ -6,7 +6,7 @@
 import attrs
 
 from wisteria_config import Document, Route
-from wisteria_core import Refusal, ResultCode, http_status
+from wisteria_core import Refusal, ResultCode, http_status, parse_digits
 from wisteria_wire import AnswerHead, HttpRequest, HttpResponse
 
 from .answers import encode_problem, make_answer_headers, make_problem_headers
@@ -166,11 +166,12 @@
         text = request.find_header(HEADER_DEADLINE_MS)
         if text is None:
             return None
-        if not text.isascii() or not text.isdigit() or int(text) == 0:
+        found = parse_digits(text)
+        if not found:
             return Refusal(
                 ResultCode.BAD_DEADLINE, f"{HEADER_DEADLINE_MS} is not a number of ms above 0"
             )
-        return int(text)
+        return found
 
     def read_idempotency_key(self, request: HttpRequest, route: Route) -> str | Refusal:
         """Return the Idempotency-Key, which is required on a route that is not repeatable."""
--- a/libs/daemon/src/wisteriaproxy/operators.py
+++ b/libs/daemon/src/wisteriaproxy/operators.py
@@ -15,6 +15,8 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
+from wisteria_core import parse_digits
+
 from .audit import AuditTrail
 from .metrics import Metrics
 
@@ -118,10 +120,10 @@
         return Answer(200, b"".join(parts), {"content-type": METRICS_CONTENT_TYPE})
 
     def _answer_audit(self, query: dict[str, list[str]]) -> Answer:
-        limit = query.get("limit", ["0"])[-1]
-        if not limit.isdigit():
+        limit = parse_digits(query.get("limit", ["0"])[-1])
+        if limit is None:
             return _answer_json(400, {"error": "limit is not a whole number"})
-        records = self.audit.describe(query.get("kind", [""])[-1], int(limit))
+        records = self.audit.describe(query.get("kind", [""])[-1], limit)
         return _answer_json(200, {"total": self.audit.total, "records": records})
 
 
--- a/libs/daemon/src/wisteriaproxy/platform.py
+++ b/libs/daemon/src/wisteriaproxy/platform.py
@@ -10,7 +10,7 @@
 import attrs
 from anyio.streams.memory import MemoryObjectSendStream
 
-from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState
+from wisteria_core import Clock, FailureDomain, Vm, VmId, VmList, VmState, parse_digits
 
 from .const import MAX_VALUE_BYTES
 from .httpx_slim import httpx
@@ -213,9 +213,10 @@
     def _parse(self, raw: bytes, version: str) -> ReadResult:
         match self.resource:
             case Resource.DOCUMENT:
-                if not version.isascii() or not version.isdigit():
+                number = parse_digits(version)
+                if number is None:
                     return self._fail(f"header {HEADER_VERSION} is not a whole number")
-                return DocumentRead(raw, int(version))
+                return DocumentRead(raw, number)
             case Resource.VMS:
                 vms = parse_vms(raw)
                 return ListRead(vms) if isinstance(vms, VmList) else self._fail(vms)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,8 +5,10 @@
 import attrs
 import pytest
 
+from wisteria_core import Refusal
 from wisteria_wire import BodyStream, HttpResponse
-from wisteriaproxy.dialect import RateLimit, Unlimited, UnreadableLimit
+from wisteriaproxy.calls import CallRegistry
+from wisteriaproxy.dialect import NativeCallerDialect, RateLimit, Unlimited, UnreadableLimit
 from wrdsc.const import HEADER_COLD_MS, HEADER_INSTANCE_ID
 from wrdsc.dialects import PlatformBackendDialect, PlatformCallerDialect, _decode_rate_limit
 
@@ -64,3 +66,11 @@
     dialect = PlatformCallerDialect(lambda: "yield", lambda: False, lambda _: None)
     found = dialect.read_deadline_ms(Headers(text))  # type: ignore[arg-type]
     assert found is None or (isinstance(found, int) and 1 <= found <= 3_600_000)
+
+
+@pytest.mark.parametrize("text", ODD_NUMBERS)
+def test_a_native_deadline_of_any_form_is_read_or_refused(text: str) -> None:
+    """Guards against a deadline of a caller that ends its request with an internal error."""
+    dialect = NativeCallerDialect(CallRegistry())
+    found = dialect.read_deadline_ms(Headers(text))  # type: ignore[arg-type]
+    assert isinstance(found, Refusal) or found > 0
--- a/tests/wisteriaproxy/test_operators.py
+++ b/tests/wisteriaproxy/test_operators.py
@@ -134,3 +134,13 @@
     with pytest.raises(ValueError, match="calls_total"):
         Metrics().set_gauge(CALLS, lambda: 0.0)
     assert len({family.full_name for family in GAUGES}) == len(GAUGES)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("limit", ["\u00b2", "9" * 5_000])
+async def test_a_limit_that_is_no_number_is_refused(limit: str) -> None:
+    """Guards against a query that gets no answer because `int` refuses its digits."""
+    metrics = Metrics()
+    app = OperatorApp(FakeDaemon(), metrics, AuditTrail(counts=metrics.counter(AUDIT_EVENTS)))
+    assert app._answer_audit({"limit": [limit]}).status == 400
+    assert app._answer_audit({"limit": ["1"]}).status == 200
--- a/tests/wisteriaproxy/test_platform.py
+++ b/tests/wisteriaproxy/test_platform.py
@@ -153,3 +153,13 @@
     assert isinstance(found, str | VmList)
     if not isinstance(value, type(json.loads(render_vms(LIST))["vms"][0].get(field, []))):
         assert isinstance(found, str)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("version", ["", "x", "\u00b2", "9" * 5_000])
+async def test_a_version_that_is_no_number_is_a_failed_read(version: str) -> None:
+    """Guards against an answer of the platform that ends the task that reads it."""
+    async with make_http_client(PlatformSettings(config_url="", vms_url=""), "vm-1") as http:
+        client = PlatformClient(Resource.DOCUMENT, "http://127.0.0.1:1/", TIMING, http)
+        assert isinstance(client._parse(b"{}", version), ReadFailed)
+        assert client._parse(b"{}", "7") == DocumentRead(b"{}", 7)
