--- a/tests/wisteriaproxy/test_settings.py
+++ b/tests/wisteriaproxy/test_settings.py
@@ -15,6 +15,7 @@
     parse_settings_of,
 )
 from wisteriaproxy.settings_reference import render_mesh_reference, render_reference
+from wisteriaproxy.settings_rules import split_address
 
 ROOT = Path(__file__).parents[2]
 
@@ -202,3 +203,13 @@
     """Guards against a memory that stands for no limit and ends the daemon at its start."""
     assert find_budget(1e308) == UNBOUNDED_BYTES
     assert find_budget(1.0) == 0
+
+
+def test_a_port_of_any_number_of_digits_is_an_error_of_the_settings() -> None:
+    """Guards against a settings file that ends the daemon when it is read again."""
+    port = "9" * 5_000
+    assert split_address(f"10.0.0.1:{port}") is None
+    text = f'[listen]\ncallers = "10.0.0.1:{port}"\n'
+    found = parse_settings_of(MeshSettings, text, Path())
+    assert isinstance(found, SettingsErrors)
+    assert "listen.callers" in {error.key for error in found.errors}
