--- a/script/tools/mesh_soak/__main__.py
+++ b/script/tools/mesh_soak/__main__.py
@@ -44,7 +44,7 @@
         for case in _select(cases):
             _print_case(world, case)
         if options.logs:
-            shutil.copytree(world.fleet.folder, options.logs)
+            shutil.copytree(world.fleet.folder, options.logs, dirs_exist_ok=True)
         print(json.dumps(_summarize(world, disruptor, cases, options.seed)))
         return not cases
     finally:
