Test that a stop during a dial cancels no other task (known red)

What callers would see: requests that end without their answer at a planned stop of their daemon, while one of its peers is frozen or cut off. What operators see: exit status 1 some seconds after SIGTERM, and no `daemon_stopped` in the log.

Cause: `LinkPool.async_unload` cancels the dials in progress. `obtain` waits for a dial through `shield`, which passes the cancellation on to the waiting task. Control messages are sent in the daemon's task group, and a task that ends with a cancellation cancels the group: the stop itself ends where it waits until answers have been sent.

Evidence: the test fails on each run (`assert False`, the group was cancelled).

--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -444,3 +444,32 @@
         await pool.async_unload()
 
     run_loop(body)
+
+
+def test_a_stop_during_a_dial_cancels_no_task_that_waits_for_it(run_loop: RunLoop) -> None:
+    """Guards against a stop that ends before answers are sent, as its task group is cancelled."""
+
+    async def body() -> None:
+        # accepts connections and never says hello, as a daemon that is frozen
+        listener = socket.create_server(("127.0.0.6", 0))
+        port = listener.getsockname()[1]
+        vm = Vm(VmId("127.0.0.6"), "127.0.0.6", port, 0, FailureDomain("north"), "yields")
+        pool = LinkPool(Handler(), VmId("127.0.0.2"), 1, None, Clock())
+        results: list[Link | Refusal] = []
+
+        async def send() -> None:
+            results.append(await pool.obtain(vm))
+
+        is_unhurt = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await asyncio.sleep(0.1)
+            await pool.async_unload()
+            # what a stop still does: it waits until answers have been sent
+            await anyio.sleep(0.1)
+            is_unhurt = True
+        assert is_unhurt
+        assert isinstance(results[0], Refusal)
+        listener.close()
+
+    run_loop(body)
