--- a/tests/platform/test_decode_configuration.py
+++ b/tests/platform/test_decode_configuration.py
@@ -179,13 +179,13 @@
     limiter.apply_rates(0, found.rates)
     dialect = PlatformCallerDialect(lambda: "yield", lambda: False, lambda _: None)
     splitter = TrafficSplitter()
-    for index, route in enumerate(document.routes):
+    for route in document.routes:
         assert route.split == () or splitter.choose(route.id, list_parts(route))
         # as the client would send it
         path = quote(route.path, safe="/%")
         request = make_request(path, route.host.encode("ascii", "ignore").decode())
         dialect.find_route(document, request)
-        caller = dialect.identify(document, document.routes[index], request)
+        caller = dialect.identify(document, route, request)
         if isinstance(caller, Refusal):
             continue
         headers = dialect.make_request_headers(request, caller)
