--- a/script/tools/mesh_soak/__main__.py
+++ b/script/tools/mesh_soak/__main__.py
@@ -13,6 +13,8 @@
 
 from tests.processes.support import Machine
 
+from wrdsc.const import HEADER_TARGET_INSTANCE
+
 from .checker import Case, Checker
 from .disruptions import Disruptor
 from .fleet import SoakFleet
@@ -78,7 +80,7 @@
             print(
                 f"  run by {work.service} {work.instance} at {work.host}: {work.end}, "
                 f"+{work.at_s - world.began_s:.3f}, target "
-                f"{work.headers.get('wisteriaproxy-target-instance')}"
+                f"{work.headers.get(HEADER_TARGET_INSTANCE)}"
             )
     for machine in world.fleet.machines:
         lines = _find_lines(machine, case)
--- a/script/tools/mesh_soak/clients.py
+++ b/script/tools/mesh_soak/clients.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from wrdsc.const import HEADER_ATTEMPT_ID, HEADER_SIGNATURE
+
 from .models import Sample
 
 IDLE_LIMIT_S = 12.0
@@ -133,8 +135,8 @@
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     sample.status = int(first.split(" ")[1])
-    sample.owner = headers.get("wisteriaproxy-attempt-id", "")
-    sample.signed = headers.get("wisteriaproxy-response-signature", "")
+    sample.owner = headers.get(HEADER_ATTEMPT_ID, "")
+    sample.signed = headers.get(HEADER_SIGNATURE, "")
     try:
         if headers.get("transfer-encoding") == "chunked":
             sample.body = await _read_chunks(reader)
--- a/script/tools/mesh_soak/disruptions.py
+++ b/script/tools/mesh_soak/disruptions.py
@@ -10,6 +10,8 @@
 import attrs
 from tests.processes.support import Machine
 
+from wrdsc.const import PREFIX_SERVERS
+
 from .models import Disruption
 from .world import SERVICES, SLOTS, World
 
@@ -283,7 +285,7 @@
         async def expire() -> None:
             await asyncio.sleep(EXPIRY_S)
             for instance in instances:
-                self.world.fleet.store.remove(f"servers/{instance}")
+                self.world.fleet.store.remove(f"{PREFIX_SERVERS}{instance}")
 
         self.world.spawn(expire())
 
@@ -334,7 +336,7 @@
     async def foreign(self) -> None:
         """Write entries of another writer."""
         store, rng = self.world.fleet.store, self.rng
-        name = f"servers/x{next(self._strange)}"
+        name = f"{PREFIX_SERVERS}x{next(self._strange)}"
         host = self.world.fleet.host(250)
         fields = f'"service": "yieldview", "address": "{host}:8005", "zone": "zone0", "slots": 8'
         values = (
--- a/script/tools/mesh_soak/models.py
+++ b/script/tools/mesh_soak/models.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import attrs
+from tests.processes.documents import list_services
 
 
 @attrs.define(eq=False)
@@ -101,10 +102,7 @@
         route = self.find_route(path)
         if route is None or not (route["public"] or key in self.keys):
             return frozenset()
-        parts = route.get("traffic_split")
-        if parts:
-            return frozenset(part["service"] for part in parts)
-        return frozenset({route["service"]})
+        return list_services(route)
 
     def explains(self, path: str, key: str, status: int) -> bool:
         """Return whether a refusal with 401, 403 or 404 follows from this version."""
--- a/script/tools/mesh_soak/world.py
+++ b/script/tools/mesh_soak/world.py
@@ -10,9 +10,18 @@
 from typing import Any
 
 import attrs
-from tests.platform.standins import STORE, Reply, Request, Store
+from tests.platform.standins import STORE, Reply, Request, Store, make_rejection
 from tests.platform.support import HOST
-from tests.processes.documents import make_route
+from tests.processes.documents import (
+    DOWNLOAD,
+    ONCE,
+    REPEATABLE,
+    is_once,
+    make_route,
+    make_tables,
+    move_route,
+    split_route,
+)
 from tests.processes.links import make_inner
 from tests.processes.relay import Relay
 from tests.processes.support import (
@@ -22,6 +31,14 @@
     Machine,
 )
 
+from wrdsc.const import (
+    HEADER_ATTEMPT_ID,
+    HEADER_SERVER_LOAD,
+    HEADER_SIGNATURE,
+    HEADER_TIMEOUT_MS,
+    PREFIX_SERVERS,
+)
+
 from .answers import check_answer, make_body, sign
 from .clients import Clients
 from .fleet import SoakFleet
@@ -29,10 +46,10 @@
 
 SERVICES = ("yieldview", "animalhealth", "reportdesk", "supplyorder")
 BASE = (
-    ("lookup", "yieldview", "idempotent", 5.0),
-    ("flag", "animalhealth", "non_idempotent", 5.0),
-    ("report", "reportdesk", "download", 1.5),
-    ("refill", "supplyorder", "non_idempotent", 1.2),
+    ("lookup", "yieldview", REPEATABLE, 5.0),
+    ("flag", "animalhealth", ONCE, 5.0),
+    ("report", "reportdesk", DOWNLOAD, 1.5),
+    ("refill", "supplyorder", ONCE, 1.2),
 )
 INNER = {
     "flag": ("history", "animalhealth", 2.5),
@@ -89,7 +106,7 @@
         for name, service, kind, timeout_s in BASE:
             self.routes.append(make_route(name, service, kind, timeout_s=timeout_s))
         for name, service, timeout_s in INNER.values():
-            route = make_route(name, service, "idempotent", timeout_s=timeout_s, public=True)
+            route = make_route(name, service, REPEATABLE, timeout_s=timeout_s, public=True)
             self.routes.append(route)
         self.keys = [f"key{number:017d}" for number in range(6)]
         self.publish()
@@ -185,16 +202,9 @@
     def publish(self) -> None:
         """Write the next version with the present routes and keys."""
         self.fleet.version += self.rng.randint(0, 3)
-        services = [
-            {"name": name, "health_path": "/healthz", "max_connections": 600, "protocol": "h1"}
-            for name in SERVICES
-        ]
-        tenants = [
-            {"name": f"t{i}", "api_keys": [key], "priority": 1, "rate_per_s": 0, "burst": 0}
-            for i, key in enumerate(self.keys)
-        ]
+        accounts = {f"t{number}": key for number, key in enumerate(self.keys)}
         routes = [dict(route) for route in self.routes]
-        self.fleet.publish(routes=routes, services=services, tenants=tenants)
+        self.fleet.publish(routes=routes, **make_tables(SERVICES, accounts))
         keys = frozenset(self.keys)
         now_s = time.monotonic()
         self.record.versions.append(Version(self.fleet.version, now_s, routes, keys))
@@ -214,16 +224,13 @@
         match kind:
             case "move":
                 route = rng.choice(base)
-                route.pop("traffic_split", None)
-                route["service"] = rng.choice([s for s in SERVICES if s != route["service"]])
+                others = [service for service in SERVICES if service != route["service"]]
+                move_route(route, rng.choice(others))
             case "split":
                 route = rng.choice(base)
                 parts = rng.sample(SERVICES, 2)
                 weight = rng.randint(1, 9)
-                route["traffic_split"] = [
-                    {"service": parts[0], "weight": weight},
-                    {"service": parts[1], "weight": 10 - weight},
-                ]
+                split_route(route, {parts[0]: weight, parts[1]: 10 - weight})
             case "timeout":
                 route = rng.choice(base)
                 route["timeout_s"] = rng.choice((1.0, 1.5, 2.0, 3.0, 5.0))
@@ -237,11 +244,10 @@
                 self.keys.append(f"key{100 + next(self._numbers):017d}")
             case "back":
                 for route, (_, service, _, _) in zip(base, BASE, strict=True):
-                    route.pop("traffic_split", None)
-                    route["service"] = service
+                    move_route(route, service)
             case _:
                 name = f"added{next(self._numbers)}"
-                kinds = ("idempotent", "non_idempotent")
+                kinds = (REPEATABLE, ONCE)
                 self.routes.append(make_route(name, rng.choice(SERVICES), rng.choice(kinds)))
                 if len(added) > 6:
                     self.routes.remove(added[0])
@@ -258,9 +264,9 @@
         async def answer(request: Request) -> Reply:
             running = self._running.get(instance, 0)
             if running >= SLOTS + QUEUE:
-                return Reply(503, {"Wisteriaproxy-Not-Executed": "full"})
+                return make_rejection("full")
             headers = request.headers
-            attempt = headers["wisteriaproxy-attempt-id"]
+            attempt = headers[HEADER_ATTEMPT_ID]
             work = Work(
                 attempt, service, instance, host, request.method, request.target, headers, _now()
             )
@@ -279,7 +285,7 @@
 
     async def _work(self, machine: Machine, request: Request, work: Work, running: int) -> Reply:
         route = request.target.split("/")[1]
-        left_s = int(request.headers.get("wisteriaproxy-timeout-ms", "5000")) / 1_000
+        left_s = int(request.headers.get(HEADER_TIMEOUT_MS, "5000")) / 1_000
         ends_s = work.at_s + left_s
         is_long = self.rng.random() < LONG_SHARE
         work_s = self.rng.uniform(*(LONG_WORK_S if is_long else WORK_S))
@@ -298,9 +304,9 @@
         work.end = "done"
         signature = sign(work.attempt, work.instance, body)
         headers = {
-            "Wisteriaproxy-Attempt-Id": work.attempt,
-            "Wisteriaproxy-Response-Signature": f"{signature}.{work.status}.{work.instance}",
-            "Wisteriaproxy-Server-Load": f"{running},0,{SLOTS}",
+            HEADER_ATTEMPT_ID: work.attempt,
+            HEADER_SIGNATURE: f"{signature}.{work.status}.{work.instance}",
+            HEADER_SERVER_LOAD: f"{running},0,{SLOTS}",
         }
         return Reply(work.status, headers, body)
 
@@ -322,7 +328,7 @@
         self._depart(machine, "draining")
 
     def remove_entry(self, machine: Machine, *, is_departure: bool = True) -> None:
-        self.fleet.store.remove(f"servers/{machine.upstream.instance}")
+        self.fleet.store.remove(f"{PREFIX_SERVERS}{machine.upstream.instance}")
         if is_departure:
             self._depart(machine, "removed")
 
@@ -360,11 +366,11 @@
         if self.withdrawn and rng.random() < 0.03:
             key = self.withdrawn[-1]
         route = next((route for route in self.routes if route["name"] == name), None)
-        kind = "idempotent" if route is None else route["route_type"]
-        method = "GET" if kind != "non_idempotent" else "POST"
+        runs_once = is_once(route)
+        method = "POST" if runs_once else "GET"
         timeout_s = next((t for base, _, _, t in BASE if base == name), 2.0)
         sample = self._make_sample(host, name, method, key, timeout_s)
-        sample.is_repeatable = kind != "non_idempotent"
+        sample.is_repeatable = not runs_once
         if name == "report" and rng.random() < SLOW_SHARE:
             sample.reads_slowly, sample.timeout_s = True, 5.0
         return sample
@@ -382,8 +388,8 @@
         self.record.samples.append(sample)
         headers = {
             "host": HOST,
-            "wisteriaproxy-attempt-id": sample.attempt,
-            "wisteriaproxy-timeout-ms": str(round(sample.timeout_s * 1_000)),
+            HEADER_ATTEMPT_ID: sample.attempt,
+            HEADER_TIMEOUT_MS: str(round(sample.timeout_s * 1_000)),
         }
         if sample.key:
             headers["authorization"] = f"Bearer {sample.key}"
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -268,6 +268,11 @@
     return Reply(status, {"content-type": "application/json"}, json.dumps(body).encode())
 
 
+def make_rejection(reason: str) -> Reply:
+    """Return the answer of a backend server that is full and doesn't run the request."""
+    return Reply(503, {"Wisteriaproxy-Not-Executed": reason})
+
+
 class Upstream:
     """Backend server that speaks the platform's dialect.
 
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -2,10 +2,7 @@
 
 import asyncio
 import contextlib
-import socket
 import ssl
-import threading
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -17,7 +14,6 @@
 from wisteria_core import (
     Clock,
     FailureDomain,
-    Priority,
     Refusal,
     ResultCode,
     RunState,
@@ -25,42 +21,15 @@
     VmId,
 )
 from wisteria_wire import AnswerHead, ByteBudget, CallHead, Link, LinkPool, PeerMaterial, ServedCall
-from wisteria_wire.codec import encode_hello
-from wisteria_wire.const import MAX_UNSENT_BYTES, PROTOCOL_VERSION, WINDOW_BYTES
+from wisteria_wire.const import MAX_UNSENT_BYTES, WINDOW_BYTES
 from wisteria_wire.frames import encode_frame
 from wisteria_wire.link import CONGESTED
-from wisteria_wire.models import FrameKind, Hello
+from wisteria_wire.models import FrameKind
+
+from .link_handler import HEAD, Handler, start_peer
 
 RunLoop = Callable[[Callable[[], Awaitable[None]]], None]
 HOST = "127.0.0.1"
-HEAD = CallHead(
-    "r1", "", "yields", "GET", "/", (), "co-op", "", Priority.NORMAL, 0, 1_000, 0, "", 1
-)
-
-
-@attrs.define(eq=False)
-class Handler:
-    """Records calls and closed links, and serves calls with `answer`."""
-
-    answer: Callable[[ServedCall, CallHead], None] = lambda served, head: None
-    pool: LinkPool | None = None
-    closed: list[str] = attrs.field(factory=list)
-    calls: list[CallHead] = attrs.field(factory=list)
-
-    def handle_link_open(self, link: Link) -> bool:
-        assert self.pool is not None
-        self.pool.add(link)
-        return True
-
-    def handle_call(self, served: ServedCall, head: CallHead) -> None:
-        self.calls.append(head)
-        self.answer(served, head)
-
-    def handle_control(self, link: Link, kind: int, payload: bytes) -> None:
-        return None
-
-    def handle_link_closed(self, link: Link, reason: str) -> None:
-        self.closed.append(reason)
 
 
 @attrs.define
@@ -301,107 +270,6 @@
     run_loop(body)
 
 
-def start_peer(vm_id: str) -> Vm:
-    """Start a daemon that says hello at once and then does nothing; return its VM."""
-    listener = socket.create_server((vm_id, 0))
-    hello = encode_frame(FrameKind.HELLO, 0, encode_hello(Hello(PROTOCOL_VERSION, vm_id, 1)))
-
-    def serve() -> None:
-        while True:
-            connection, _ = listener.accept()
-            connection.sendall(hello)
-            threading.Thread(target=connection.recv, args=(1 << 16, socket.MSG_WAITALL)).start()
-
-    threading.Thread(target=serve, daemon=True).start()
-    domain = FailureDomain("north")
-    return Vm(VmId(vm_id), vm_id, listener.getsockname()[1], 0, domain, "yields")
-
-
-def dial_with_late_loop(monkeypatch: pytest.MonkeyPatch, pool: LinkPool, handler: Handler) -> None:
-    """Have the peer's hello wait when a connection is made, as in an event loop that is late."""
-    monkeypatch.setattr("wisteria_wire.link.set_tcp_timeouts", lambda _: time.sleep(0.2))
-    handler.pool = pool
-
-
-def test_a_link_whose_dial_was_cancelled_can_be_written_to(
-    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against a daemon that ends by writing to a link that the event loop has closed."""
-
-    async def body() -> None:
-        vm = start_peer("127.0.0.3")
-        tasks: list[asyncio.Task[Link | Refusal]] = []
-
-        class Cancelling(Handler):
-            def handle_link_open(self, link: Link) -> bool:
-                is_added = super().handle_link_open(link)
-                tasks[0].cancel()
-                return is_added
-
-        handler = Cancelling()
-        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
-        dial_with_late_loop(monkeypatch, pool, handler)
-        tasks.append(asyncio.create_task(pool.obtain(vm)))
-        await asyncio.wait(tasks)
-        link = await pool.obtain(vm)
-        assert isinstance(link, Link)
-        link.send_control(1, b"message")
-        assert not isinstance(link.send_call(HEAD)._answer, Refusal)
-        await pool.async_unload()
-
-    run_loop(body)
-
-
-def test_a_cancelled_call_takes_the_link_from_no_other(
-    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against calls that are refused because another call, which dialed, was cancelled."""
-
-    async def body() -> None:
-        vm = start_peer("127.0.0.4")
-        handler = Handler()
-        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
-        dial_with_late_loop(monkeypatch, pool, handler)
-        first = asyncio.create_task(pool.obtain(vm))
-        second = asyncio.create_task(pool.obtain(vm))
-        await asyncio.sleep(0)
-        first.cancel()
-        assert isinstance(await second, Link)
-        await pool.async_unload()
-
-    run_loop(body)
-
-
-def test_a_stop_during_a_dial_leaves_no_open_link(
-    run_loop: RunLoop, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against a stop that writes to a link that the event loop has closed."""
-
-    async def body() -> None:
-        vm = start_peer("127.0.0.5")
-        links: list[Link] = []
-
-        class Stopping(Handler):
-            def handle_link_open(self, link: Link) -> bool:
-                links.append(link)
-                assert self.pool is not None
-                for dialing in self.pool._dialing.values():
-                    dialing.cancel()
-                return super().handle_link_open(link)
-
-        handler = Stopping()
-        pool = LinkPool(handler, VmId("127.0.0.2"), 1, None, Clock())
-        dial_with_late_loop(monkeypatch, pool, handler)
-        await asyncio.wait([asyncio.create_task(pool.obtain(vm))])
-        (link,) = links
-        assert not link.is_open
-        assert pool.find(vm.vm_id) is None
-        link.send_control(1, b"message")
-        assert handler.closed == ["dial cancelled"]
-
-    run_loop(body)
-
-
 def test_memory_of_calls_before_the_hello_is_released(fixture: Fixture, run_loop: RunLoop) -> None:
     """Guards against strangers that keep memory reserved until the daemon refuses every body."""
 
@@ -444,32 +312,3 @@
         await pool.async_unload()
 
     run_loop(body)
-
-
-def test_a_stop_during_a_dial_cancels_no_task_that_waits_for_it(run_loop: RunLoop) -> None:
-    """Guards against a stop that ends before answers are sent, as its task group is cancelled."""
-
-    async def body() -> None:
-        # accepts connections and never says hello, as a daemon that is frozen
-        listener = socket.create_server(("127.0.0.6", 0))
-        port = listener.getsockname()[1]
-        vm = Vm(VmId("127.0.0.6"), "127.0.0.6", port, 0, FailureDomain("north"), "yields")
-        pool = LinkPool(Handler(), VmId("127.0.0.2"), 1, None, Clock())
-        results: list[Link | Refusal] = []
-
-        async def send() -> None:
-            results.append(await pool.obtain(vm))
-
-        is_unhurt = False
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(send)
-            await asyncio.sleep(0.1)
-            await pool.async_unload()
-            # what a stop still does: it waits until answers have been sent
-            await anyio.sleep(0.1)
-            is_unhurt = True
-        assert is_unhurt
-        assert isinstance(results[0], Refusal)
-        listener.close()
-
-    run_loop(body)
